Lay out the workspace and the configuration library

The document is published as an index and immutable parts, so that a change costs one part and no value nears a megabyte. The formatter, the linters with hacking's checks, the import contracts and the tests run in make test.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# A fresh machine needs Python 3.11 and make; the rest comes from the lock.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+UV_VERSION := 0.13.9
+
+.PHONY: install test lint format unit demo binary clean
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements/develop.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		uv==$(UV_VERSION)
+	$(BIN)/uv pip sync --quiet --python $(BIN)/python --require-hashes \
+		requirements/develop.lock
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --no-deps \
+		--no-build-isolation $(foreach p,$(sort $(wildcard packages/*)),-e $(p))
+	touch $@
+
+lint: install
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8 packages tests tools
+	$(BIN)/lint-imports --no-cache > build-lint.txt 2>&1 || \
+		{ cat build-lint.txt; rm build-lint.txt; exit 1; }
+	@rm build-lint.txt
+	$(BIN)/python -m tools.check_imports packages tests tools
+
+format: install
+	$(BIN)/ruff check --quiet --fix --select I .
+	$(BIN)/ruff format --quiet .
+
+unit: install
+	$(BIN)/python -m tools.run_tests
+
+test: lint unit
+
+demo: install
+	$(BIN)/python -m primrosemill.measure demo
+
+clean:
+	rm -rf $(VENV) build dist .stestr .hypothesis
--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offers the primrosemill command line."""
--- /dev/null
+++ b/packages/configuration/src/primrosemill/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Checks and versions the configuration documents of a fleet."""
--- /dev/null
+++ b/packages/configuration/src/primrosemill/configuration/values.py
@@ -0,0 +1,110 @@
+"""Describes the published values: their keys, JSON forms and digests.
+
+A document is published as one small index and one value for each part. A
+part's key holds its revision, so a published value never changes and a
+reader of an old index is not disturbed by a new part. Parts are published
+first and the index last.
+"""
+
+import hashlib
+import typing
+
+VALUE_SIZE_LIMIT = 1_000_000  # bytes; the store holds up to a megabyte.
+DIGEST_SIZE = 16  # bytes, before the hexadecimal form doubles them.
+INDEX_KEY = "index"
+
+
+class InstanceValue(typing.TypedDict):
+    """JSON form of an instance; the address is ``ip:port``."""
+
+    id: str
+    address: str
+    domain: str
+    state: typing.NotRequired[str]
+
+
+class RouteValue(typing.TypedDict):
+    """JSON form of a route; the deadline is in seconds."""
+
+    host: typing.NotRequired[str]
+    path_prefix: str
+    methods: typing.NotRequired[list[str]]
+    idempotent: bool
+    deadline: typing.NotRequired[float]
+
+
+class ServiceValue(typing.TypedDict):
+    """JSON form of a service."""
+
+    name: str
+    revision: int
+    instances: list[InstanceValue]
+    routes: list[RouteValue]
+    slots: int
+    connections: int
+    floor: int
+    detection_weight: float
+    demand: float
+    cold_start: float
+    probe_path: str
+    probe_interval: float
+
+
+class LimitValue(typing.TypedDict):
+    """JSON form of a caller's limit."""
+
+    rate: float
+    burst: int
+
+
+class LimitsValue(typing.TypedDict):
+    """JSON form of one shard of the callers' limits."""
+
+    shard: str
+    revision: int
+    limits_by_caller: dict[str, LimitValue]
+
+
+class PartReference(typing.TypedDict):
+    """Names the revision of a part and the digest of its bytes."""
+
+    revision: int
+    digest: str
+
+
+class IndexValue(typing.TypedDict):
+    """JSON form of the index, which names every part of a version."""
+
+    fleet: str
+    version: int
+    domains: list[str]
+    default_limit: LimitValue
+    services_by_name: dict[str, PartReference]
+    limits_by_shard: dict[str, PartReference]
+
+
+def service_key(name: str, revision: int) -> str:
+    """Return the key of one revision of a service."""
+    return f"service/{name}/{revision}"
+
+
+def limits_key(shard: str, revision: int) -> str:
+    """Return the key of one revision of a shard of limits."""
+    return f"limits/{shard}/{revision}"
+
+
+def part_keys(index: IndexValue) -> dict[str, str]:
+    """Return the digest of each part that the index names, by key."""
+    digests_by_key = {}
+    for name, reference in index["services_by_name"].items():
+        key = service_key(name, reference["revision"])
+        digests_by_key[key] = reference["digest"]
+    for shard, reference in index["limits_by_shard"].items():
+        key = limits_key(shard, reference["revision"])
+        digests_by_key[key] = reference["digest"]
+    return digests_by_key
+
+
+def digest(value: bytes) -> str:
+    """Return the digest that an index gives for a value."""
+    return hashlib.blake2b(value, digest_size=DIGEST_SIZE).hexdigest()
--- /dev/null
+++ b/packages/decisions/src/primrosemill/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decides on routing, limits, detection, ejection and retries."""
--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Makes many VMs act as one: membership, evidence, configuration."""
--- /dev/null
+++ b/packages/measure/src/primrosemill/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures decisions, latency, spread and capacity."""
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Serves requests: HTTP in and out, and the daemon."""
--- /dev/null
+++ b/packages/publish/src/primrosemill/publish/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the configuration that operators publish."""
--- /dev/null
+++ b/tests/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data, a module for each library."""
--- /dev/null
+++ b/tests/configuration/test_assembly.py
@@ -0,0 +1,79 @@
+import testtools
+
+from primrosemill.configuration import assembly
+from primrosemill.configuration import faults
+from primrosemill.configuration import values
+from tests.builders import configuration as builders
+
+
+def assemble(values_by_key, previous=None):
+    index_value = values_by_key[values.INDEX_KEY]
+    return assembly.assemble(index_value, values_by_key, previous)
+
+
+class AssemblyTest(testtools.TestCase):
+    def fault_types(self, *services, **changes):
+        result = assemble(builders.published(*services, **changes))
+        self.assertTrue(result.is_error())
+        return {type(fault) for fault in result.error}
+
+    def test_builds_the_document(self):
+        document = builders.assembled().document
+        service = document.services_by_name["reservations"]
+        self.assertEqual(1, document.version)
+        self.assertEqual(20, len(service.instances))
+        self.assertEqual(9000, service.instances[0].port)
+
+    def test_unchanged_part_is_reused(self):
+        first = builders.assembled()
+        second = assemble(builders.published(version=2), first).ok
+        name = "reservations"
+        self.assertIs(
+            first.document.services_by_name[name],
+            second.document.services_by_name[name],
+        )
+
+    def test_refuses_impossible_services(self):
+        instance = builders.instance_value(0)
+        cases = [
+            (faults.FloorOverInstances, {"floor": 21}),
+            (faults.OutOfRange, {"slots": 0}),
+            (faults.Duplicate, {"instances": [instance] * 20}),
+            (faults.BadName, {"name": "a/b"}),
+            (faults.Malformed, {"slots": "three"}),
+        ]
+        for fault_type, changes in cases:
+            service = builders.service_value() | changes
+            self.assertIn(fault_type, self.fault_types(service))
+
+    def test_refuses_impossible_instances(self):
+        cases = [
+            (faults.UnknownDomain, {"domain": "elsewhere"}),
+            (faults.BadAddress, {"address": "localhost:80"}),
+            (faults.BadAddress, {"address": "127.0.0.1:0"}),
+            (faults.UnknownState, {"state": "asleep"}),
+        ]
+        for fault_type, changes in cases:
+            instance = builders.instance_value(0, **changes)
+            service = builders.service_value(instances=1, floor=0)
+            service["instances"] = [instance]
+            self.assertIn(fault_type, self.fault_types(service))
+
+    def test_two_services_may_not_share_an_address(self):
+        other = builders.service_value(name="compliance", routes=[])
+        found = self.fault_types(builders.service_value(), other)
+        self.assertEqual({faults.Duplicate}, found)
+
+    def test_missing_and_altered_parts_are_refused(self):
+        values_by_key = builders.published()
+        key = values.service_key("reservations", 1)
+        altered = values_by_key | {key: values_by_key[key] + b" "}
+        self.assertIsInstance(assemble(altered).error[0], faults.WrongDigest)
+        del values_by_key[key]
+        self.assertIsInstance(
+            assemble(values_by_key).error[0], faults.MissingPart
+        )
+
+    def test_too_large_a_value_is_refused(self):
+        result = assembly.decode_index(b" " * (values.VALUE_SIZE_LIMIT + 1))
+        self.assertIsInstance(result.error, faults.ValueTooLarge)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools: the test verdict and checks that no linter has."""
