--- /dev/null
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -0,0 +1,63 @@
+"""Types of what an attempt and a request ended in.
+
+An attempt is one try at one instance. It was *not run* only when no byte of
+it was written or when the instance itself said that it shed the request;
+once a byte was written and no whole answer came, what happened is unknown.
+"""
+
+import enum
+import typing
+
+
+class NotRunReason(enum.StrEnum):
+    """Why an attempt was certainly not run by the instance."""
+
+    CONNECT_REFUSED = "connect_refused"
+    CONNECT_TIMEOUT = "connect_timeout"
+    SHED = "shed"
+    CANCELLED_UNSENT = "cancelled_unsent"
+
+
+class UnknownReason(enum.StrEnum):
+    """Why nobody can tell whether the instance ran an attempt."""
+
+    CLOSED = "closed"
+    TIMEOUT = "timeout"
+    TRUNCATED = "truncated"
+    CANCELLED = "cancelled"
+    PROTOCOL = "protocol"
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a request was given up before any instance ran it."""
+
+    NO_ROUTE = "no_route"
+    NO_CONFIGURATION = "no_configuration"
+    CALLER_LIMIT = "caller_limit"
+    QUEUE_FULL = "queue_full"
+    NO_INSTANCE = "no_instance"
+    DEADLINE = "deadline"
+    RETRIES_SPENT = "retries_spent"
+    BODY_SENT = "body_sent"
+
+
+class NotRun(typing.NamedTuple):
+    """The instance did not run the attempt."""
+
+    reason: NotRunReason
+
+
+class Unknown(typing.NamedTuple):
+    """The instance may or may not have run the attempt."""
+
+    reason: UnknownReason
+
+
+class Answered(typing.NamedTuple):
+    """The instance answered; ``elapsed`` is in seconds."""
+
+    status: int
+    elapsed: float
+
+
+Outcome = NotRun | Unknown | Answered
--- /dev/null
+++ b/packages/proofs/src/primrosemill/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks the core protocols and checks histories of runs."""
--- /dev/null
+++ b/packages/telemetry/src/primrosemill/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs numbered events and counts refusals, retries and faults."""
--- a/tests/builders/configuration.py
+++ b/tests/builders/configuration.py
@@ -19,19 +19,19 @@
     return value | changes
 
 
-def service_value(instances: int = 20, **changes) -> values.ServiceValue:
+def service_value(count: int = 20, **changes) -> values.ServiceValue:
     """Build Atlas's reservations service."""
     value = {
         "name": "reservations",
         "revision": 1,
-        "instances": [instance_value(number) for number in range(instances)],
+        "instances": [instance_value(number) for number in range(count)],
         "routes": [
             {"path_prefix": "/slots", "methods": ["GET"], "idempotent": True},
             {"path_prefix": "/bookings", "idempotent": False},
         ],
         "slots": 3,
         "connections": 300,
-        "floor": min(14, instances),
+        "floor": min(14, count),
         "detection_weight": 0.8,
         "demand": 600.0,
         "cold_start": 10.0,
--- a/tests/configuration/test_assembly.py
+++ b/tests/configuration/test_assembly.py
@@ -55,7 +55,7 @@
         ]
         for fault_type, changes in cases:
             instance = builders.instance_value(0, **changes)
-            service = builders.service_value(instances=1, floor=0)
+            service = builders.service_value(1, floor=0)
             service["instances"] = [instance]
             self.assertIn(fault_type, self.fault_types(service))
 
