--- a/packages/decisions/src/primrosemill/decisions/evidence.py
+++ b/packages/decisions/src/primrosemill/decisions/evidence.py
@@ -8,8 +8,10 @@
 class InstanceEvidence(typing.NamedTuple):
     """What one VM met at one instance lately.
 
-    ``requests`` counts the attempts behind the score, ``draining`` is set
-    by the first sign that the instance is leaving.
+    ``score`` is in nats, ``requests`` counts the recent attempts behind it.
+    ``draining`` is set by the first sign that the instance is leaving, and
+    only by the VM that saw the sign itself. ``well`` tells that this VM's
+    own requests speak for the instance since a peer began to suspect it.
     """
 
     instance_id: str
@@ -17,6 +19,7 @@
     requests: int
     state: standings.State
     draining: bool = False
+    well: bool = False
 
 
 class Report(typing.NamedTuple):
