Split the HTTP path into modules of one job

The first path knew nothing of bytes written, read whole uploads into memory and found out about a lost caller only when it wrote. The exchange of a request is now made of an attempt (one instance, typed outcome), a flight (slot, connection, observer), a dispatcher (the queue for slots) and the caller's side; plugs.py names the decisions that the path asks for.

The accept loop is the proxy's own, with hypercorn's connection on top, so that the application can reset a caller's connection and is told when the caller leaves. The stream to an instance implements httpcore's interface and knows whether the kernel took a byte.

--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -14,6 +14,8 @@
 
     CONNECT_REFUSED = "connect_refused"
     CONNECT_TIMEOUT = "connect_timeout"
+    CONNECT_FAILED = "connect_failed"
+    CLOSED_UNSENT = "closed_unsent"
     SHED = "shed"
     CANCELLED_UNSENT = "cancelled_unsent"
 
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -1,7 +1,6 @@
-"""Answers callers' requests: finds the route, an instance, and the answer."""
+"""Answers callers' requests: finds the route and concludes the exchange."""
 
 import random
-import typing
 
 import trio
 
@@ -9,168 +8,172 @@
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import routes
 from primrosemill.decisions import slots
-from primrosemill.proxy import upstream
+from primrosemill.proxy import asgi
+from primrosemill.proxy import attempts
+from primrosemill.proxy import callers
+from primrosemill.proxy import connections
+from primrosemill.proxy import counters
+from primrosemill.proxy import dispatch
+from primrosemill.proxy import exchange
+from primrosemill.proxy import flights
+from primrosemill.proxy import headers
+from primrosemill.proxy import plugs
+from primrosemill.proxy import replay
 
-OUTCOME_HEADER = b"x-outcome"
-REASON_HEADER = b"x-outcome-reason"
-HOP_HEADERS = frozenset(
-    {b"connection", b"keep-alive", b"transfer-encoding", b"te", b"upgrade"}
-)
-RETRY_PAUSE = 0.005  # seconds
-STATUS_UNAVAILABLE = 503
-STATUS_BAD_GATEWAY = 502
-Scope = dict[str, typing.Any]
-Receive = typing.Callable[[], typing.Awaitable[dict[str, typing.Any]]]
-Send = typing.Callable[[dict[str, typing.Any]], typing.Awaitable[None]]
+Lookup = routes.Match | plugs.Refused
 
 
 class Application:
     """The ASGI application that callers reach."""
 
-    def __init__(self, generator: random.Random) -> None:
+    def __init__(
+        self,
+        generator: random.Random,
+        decisions: plugs.Plugs | None = None,
+        counts: counters.Counters | None = None,
+    ) -> None:
         self._generator = generator
-        self._upstream = upstream.Upstream()
+        self._plugs = decisions or plugs.plain()
+        self._counters = counts or counters.Counters()
         self._table: routes.RouteTable | None = None
-        self._slots_by_service: dict[str, slots.SlotTable] = {}
+        self._connections = connections.Connections()
+        self._dispatchers_by_service: dict[str, dispatch.Dispatcher] = {}
+        self.leaving = False
+        self.in_flight = 0
 
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         self._table = routes.RouteTable(document)
         for name, service in document.services_by_name.items():
-            table = self._slots_by_service.get(name)
-            if table is None:
-                self._slots_by_service[name] = slots.SlotTable(
-                    service, self._generator
-                )
-            else:
-                table.set_service(service)
+            dispatcher = self._dispatchers_by_service.get(name)
+            if dispatcher is not None:
+                dispatcher.set_service(service)
+                continue
+            table = slots.SlotTable(service, self._generator)
+            self._dispatchers_by_service[name] = dispatch.Dispatcher(table)
+
+    def keep_house(self) -> None:
+        """Grant slots that time made free and close expired connections."""
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.wake()
+        self._connections.close_expired()
+
+    def close(self) -> None:
+        """Close all idle connections to instances."""
+        self._connections.close_all()
 
     async def __call__(
-        self, scope: Scope, receive: Receive, send: Send
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer one request."""
+        caller = callers.Caller(
+            send, scope["state"][callers.CONNECTION_KEY], self._is_leaving
+        )
+        self.in_flight += 1
+        started = trio.current_time()
+        try:
+            ending = await self._resolve(scope, receive, caller)
+            await _conclude(ending, caller)
+            self._counters.count_ending(ending, trio.current_time() - started)
+        finally:
+            self.in_flight -= 1
+            caller.detach()
+
+    def _is_leaving(self) -> bool:
+        return self.leaving
+
+    async def _resolve(
+        self, scope: asgi.Scope, receive: asgi.Receive, caller: callers.Caller
+    ) -> exchange.Ending:
+        now = trio.current_time()
+        match = self._find(scope)
+        if isinstance(match, plugs.Refused):
+            return match
+        caller_id = headers.find(scope["headers"], headers.CALLER) or b""
+        refused = self._plugs.admission.admit(caller_id.decode("latin-1"), now)
+        if refused is not None:
+            return refused
+        outgoing = _outgoing(scope, receive, match.route, now)
+        self._plugs.retries.request_started(match.service, now)
+        return await self._exchange(match.service, outgoing, caller)
+
+    def _find(self, scope: asgi.Scope) -> Lookup:
         if self._table is None:
-            await _refuse(send, outcomes.RefusalReason.NO_CONFIGURATION)
-            return
-        headers = dict(scope["headers"])
-        host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
-        match = self._table.find(host, scope["path"], scope["method"])
-        if match is None:
-            await _refuse(send, outcomes.RefusalReason.NO_ROUTE)
-            return
-        attempt = upstream.Attempt(
-            scope["method"].encode(),
-            _target(scope),
-            _forwarded(scope["headers"]),
-            await _read_body(receive),
+            return plugs.Refused(outcomes.RefusalReason.NO_CONFIGURATION)
+        host = headers.find(scope["headers"], b"host") or b""
+        match = self._table.find(
+            host.decode("latin-1").partition(":")[0],
+            scope["path"],
+            scope["method"],
         )
-        with trio.move_on_after(match.route.deadline) as scope_of_deadline:
-            await self._run(match, attempt, send)
-        if scope_of_deadline.cancelled_caught:
-            await _refuse(send, outcomes.RefusalReason.DEADLINE)
+        return match or plugs.Refused(outcomes.RefusalReason.NO_ROUTE)
 
-    async def _run(
-        self, match: routes.Match, attempt: upstream.Attempt, send: Send
-    ) -> None:
-        table = self._slots_by_service[match.service]
-        while True:
-            instance = table.acquire(frozenset())
-            if instance is None:
-                await trio.sleep(RETRY_PAUSE)
-                continue
-            try:
-                outcome = await self._attempt(instance, attempt, send)
-            finally:
-                table.release(instance.id)
-            if isinstance(outcome, outcomes.Answered):
-                return
-            if isinstance(outcome, outcomes.Unknown) and (
-                not match.route.idempotent
-            ):
-                await _send_outcome(
-                    send, STATUS_BAD_GATEWAY, "unknown", outcome.reason
-                )
-                return
-            await trio.sleep(RETRY_PAUSE)
-
-    async def _attempt(
+    async def _exchange(
         self,
-        instance: documents.Instance,
-        attempt: upstream.Attempt,
-        send: Send,
-    ) -> outcomes.Outcome:
-        started = trio.current_time()
-        connection, answer = await self._upstream.start(instance, attempt)
-        if not isinstance(answer, upstream.Answer):
-            await connection.aclose()
-            return answer
-        await send(
-            {
-                "type": "http.response.start",
-                "status": answer.status,
-                "headers": [
-                    *_forwarded(answer.headers),
-                    (OUTCOME_HEADER, b"answered"),
-                ],
-            }
+        service: str,
+        outgoing: attempts.Outgoing,
+        caller: callers.Caller,
+    ) -> exchange.Ending:
+        running = exchange.Exchange(
+            flights.Context(
+                service,
+                outgoing,
+                self._dispatchers_by_service[service],
+                self._connections,
+                self._plugs.observer,
+            ),
+            caller,
+            self._plugs.retries,
+            self._counters.count_retry,
         )
-        async for chunk in answer.response.aiter_stream():
-            await send(
-                {
-                    "type": "http.response.body",
-                    "body": chunk,
-                    "more_body": True,
-                }
-            )
-        await answer.response.aclose()
-        self._upstream.put_back(instance, connection)
-        await send({"type": "http.response.body", "body": b""})
-        return outcomes.Answered(answer.status, trio.current_time() - started)
-
-
-def _target(scope: Scope) -> bytes:
+        with trio.CancelScope(deadline=outgoing.deadline) as scope:
+            caller.attach(scope)
+            try:
+                return await running.run()
+            except replay.CallerGoneError:
+                return exchange.CallerGone()
+        if caller.gone:
+            return exchange.CallerGone()
+        if caller.started:
+            caller.abort()
+            return exchange.Aborted(outcomes.UnknownReason.TIMEOUT)
+        return running.unknown or plugs.Refused(
+            outcomes.RefusalReason.DEADLINE
+        )
+
+
+async def _conclude(ending: exchange.Ending, caller: callers.Caller) -> None:
+    if isinstance(ending, plugs.Refused):
+        await caller.refuse(ending)
+    elif isinstance(ending, outcomes.Unknown):
+        await caller.tell_unknown(ending)
+
+
+def _outgoing(
+    scope: asgi.Scope,
+    receive: asgi.Receive,
+    route: documents.Route,
+    now: float,
+) -> attempts.Outgoing:
+    """Build what is sent to instances from what the caller sent."""
+    lines = scope["headers"]
+    timeout = headers.parse_timeout(
+        headers.find(lines, headers.TIMEOUT), route.deadline
+    )
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
-    return target
-
-
-def _forwarded(headers: upstream.Headers) -> upstream.Headers:
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in HOP_HEADERS
-    ]
-
-
-async def _read_body(receive: Receive) -> bytes:
-    body = b""
-    while True:
-        message = await receive()
-        body += message.get("body", b"")
-        if not message.get("more_body", False):
-            return body
-
-
-async def _refuse(send: Send, reason: outcomes.RefusalReason) -> None:
-    status = STATUS_UNAVAILABLE
-    if reason is outcomes.RefusalReason.NO_ROUTE:
-        status = 404
-    await _send_outcome(send, status, "not-run", reason)
-
-
-async def _send_outcome(
-    send: Send, status: int, outcome: str, reason: str
-) -> None:
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [
-                (b"content-length", b"0"),
-                (OUTCOME_HEADER, outcome.encode()),
-                (REASON_HEADER, reason.encode()),
-            ],
-        }
+    forwarded = headers.forward(lines, headers.REQUEST_NAMES_DROPPED)
+    chunked = headers.find(lines, headers.TRANSFER_ENCODING) is not None
+    if chunked:
+        forwarded.append(headers.CHUNKED)
+    length = headers.find(lines, headers.CONTENT_LENGTH)
+    absent = not chunked and length in (None, b"0")
+    return attempts.Outgoing(
+        scope["method"].encode(),
+        target,
+        forwarded,
+        replay.ReplayBody(receive, absent=absent),
+        route.idempotent,
+        now + timeout,
     )
-    await send({"type": "http.response.body", "body": b""})
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/asgi.py
@@ -0,0 +1,47 @@
+"""Types and helpers of ASGI that the caller and admin faces share."""
+
+import typing
+
+Header = tuple[bytes, bytes]
+Headers = list[Header]
+Message = dict[str, typing.Any]
+Scope = dict[str, typing.Any]
+Receive = typing.Callable[[], typing.Awaitable[Message]]
+Send = typing.Callable[[Message], typing.Awaitable[None]]
+Handler = typing.Callable[[Scope, Receive, Send], typing.Awaitable[None]]
+
+
+def start_message(status: int, headers: Headers) -> Message:
+    """Return the message that starts an answer."""
+    return {
+        "type": "http.response.start",
+        "status": status,
+        "headers": headers,
+    }
+
+
+def body_message(body: bytes, more_body: bool) -> Message:
+    """Return the message that carries a piece of an answer's body."""
+    return {
+        "type": "http.response.body",
+        "body": body,
+        "more_body": more_body,
+    }
+
+
+async def respond(
+    send: Send, status: int, headers: Headers, body: bytes = b""
+) -> None:
+    """Send a whole answer."""
+    length = (b"content-length", str(len(body)).encode())
+    await send(start_message(status, [length, *headers]))
+    await send(body_message(body, False))
+
+
+async def serve_lifespan(receive: Receive, send: Send) -> None:
+    """Answer the server's lifespan protocol until the server stops."""
+    while True:
+        message = await receive()
+        await send({"type": f"{message['type']}.complete"})
+        if message["type"] == "lifespan.shutdown":
+            return
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -0,0 +1,147 @@
+"""Speaks to one caller: relays answers, refuses, or aborts."""
+
+import math
+import typing
+
+import trio
+
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import asgi
+from primrosemill.proxy import attempts
+from primrosemill.proxy import headers
+from primrosemill.proxy import plugs
+
+CONNECTION_KEY = "connection"
+PROGRESS_TIMEOUT = 60.0  # seconds without progress once an answer began
+REFUSAL_TIMEOUT = 2.0  # seconds for a refusal to leave
+STATUS_NO_ROUTE = 404
+STATUS_TOO_MANY_REQUESTS = 429
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+STATUS_BY_REFUSAL = {
+    outcomes.RefusalReason.NO_ROUTE: STATUS_NO_ROUTE,
+    outcomes.RefusalReason.CALLER_LIMIT: STATUS_TOO_MANY_REQUESTS,
+    outcomes.RefusalReason.DEADLINE: STATUS_GATEWAY_TIMEOUT,
+}
+
+
+class CallerConnection(typing.Protocol):
+    """What the server tells and does for the connection of a caller."""
+
+    on_gone: typing.Callable[[], None] | None
+
+    def abort(self) -> None:
+        """Reset the connection, so that nobody takes the answer as whole."""
+        ...
+
+
+class Caller:
+    """Writes the one answer of a request."""
+
+    def __init__(
+        self,
+        send: asgi.Send,
+        connection: CallerConnection,
+        leaving: typing.Callable[[], bool],
+    ) -> None:
+        self._send = send
+        self._connection = connection
+        self._leaving = leaving
+        self._scope: trio.CancelScope | None = None
+        self.started = False
+        self.gone = False
+
+    def attach(self, scope: trio.CancelScope) -> None:
+        """Cancel the scope if the caller goes away."""
+        self._scope = scope
+        self._connection.on_gone = self._on_gone
+
+    def detach(self) -> None:
+        """Stop watching for the caller's going away."""
+        self._connection.on_gone = None
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._connection.abort()
+
+    async def relay(
+        self, answer: attempts.Answer, attempt: attempts.Attempt
+    ) -> outcomes.Unknown | None:
+        """Pass an answer on; returns what cut it off, or None if whole."""
+        self.started = True
+        self._note_progress()
+        await self._send(
+            asgi.start_message(answer.status, self._headers(answer))
+        )
+        if answer.whole:
+            await self._send(asgi.body_message(answer.held, False))
+            return None
+        return await self._relay_pieces(answer.held, attempt)
+
+    async def _relay_pieces(
+        self, held: bytes, attempt: attempts.Attempt
+    ) -> outcomes.Unknown | None:
+        piece: bytes | outcomes.Unknown | None = held
+        while isinstance(piece, bytes):
+            await self._send(asgi.body_message(piece, True))
+            self._note_progress()
+            piece = await attempt.next_piece()
+        if piece is None:
+            await self._send(asgi.body_message(b"", False))
+        return piece
+
+    async def refuse(self, refused: plugs.Refused) -> None:
+        """Say that the request was not run, why, and when to ask again."""
+        retry_after = str(max(1, math.ceil(refused.retry_after))).encode()
+        status = STATUS_BY_REFUSAL.get(refused.reason, STATUS_UNAVAILABLE)
+        await self._conclude(
+            status,
+            [
+                headers.OUTCOME_NOT_RUN,
+                (headers.REASON, refused.reason.encode()),
+                (headers.RETRY_AFTER, retry_after),
+            ],
+        )
+
+    async def tell_unknown(self, unknown: outcomes.Unknown) -> None:
+        """Say that nobody can tell whether the request was run."""
+        status = STATUS_BAD_GATEWAY
+        if unknown.reason is outcomes.UnknownReason.TIMEOUT:
+            status = STATUS_GATEWAY_TIMEOUT
+        await self._conclude(
+            status,
+            [
+                headers.OUTCOME_UNKNOWN,
+                (headers.REASON, unknown.reason.encode()),
+            ],
+        )
+
+    async def _conclude(self, status: int, lines: asgi.Headers) -> None:
+        """Send a whole answer of the proxy's own.
+
+        The server may wait for a reader of an upload that nobody wants any
+        more, so the connection is given up after a moment.
+        """
+        if self._leaving():
+            lines.append(headers.CLOSE)
+        self.started = True
+        with trio.move_on_after(REFUSAL_TIMEOUT) as scope:
+            await asgi.respond(self._send, status, lines)
+        if scope.cancelled_caught:
+            self.abort()
+
+    def _headers(self, answer: attempts.Answer) -> asgi.Headers:
+        lines = headers.forward(answer.headers, headers.ANSWER_NAMES_DROPPED)
+        lines.append(headers.OUTCOME_ANSWERED)
+        if self._leaving():
+            lines.append(headers.CLOSE)
+        return lines
+
+    def _note_progress(self) -> None:
+        if self._scope is not None:
+            self._scope.deadline = trio.current_time() + PROGRESS_TIMEOUT
+
+    def _on_gone(self) -> None:
+        self.gone = True
+        self._scope.cancel()
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -0,0 +1,93 @@
+"""Keeps idle connections to instances and says which may be used again."""
+
+import typing
+
+import httpcore
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.proxy import wire
+
+IDLE_LIFETIME = 30.0  # seconds
+# A server closes connections that were idle for long. One that served a
+# request this lately is unlikely to close just as the next is written.
+FRESH_FOR = 1.0  # seconds
+IDLE_LIMIT = 16  # connections to one instance
+
+
+class Connection(typing.NamedTuple):
+    """An HTTP connection and the stream below it."""
+
+    http: httpcore.AsyncHTTP11Connection
+    stream: wire.InstanceStream
+
+
+class Idle(typing.NamedTuple):
+    """A connection that may be used again, and since when it is idle."""
+
+    connection: Connection
+    since: float
+
+
+class Connections:
+    """Holds the idle connections of this VM to all instances."""
+
+    def __init__(self) -> None:
+        self._idle_by_id: dict[str, list[Idle]] = {}
+
+    def take_idle(
+        self, instance: documents.Instance, idempotent: bool
+    ) -> Connection | None:
+        """Return the connection used last, or None if none is fit.
+
+        A request that must not be repeated gets only one that was in use a
+        moment ago: a new connection costs about a millisecond, an unknown
+        outcome costs the caller its request.
+        """
+        idle = self._idle_by_id.get(instance.id)
+        if not idle:
+            return None
+        now = trio.current_time()
+        lifetime = IDLE_LIFETIME if idempotent else FRESH_FOR
+        while idle:
+            if now - idle[-1].since > lifetime:
+                return None
+            connection = idle.pop().connection
+            if not connection.stream.is_readable():
+                return connection
+            connection.stream.close()
+        return None
+
+    async def open(self, instance: documents.Instance) -> Connection:
+        """Open a connection; raises OSError."""
+        stream = await wire.connect(instance)
+        origin = httpcore.Origin(b"http", instance.ip.encode(), instance.port)
+        return Connection(
+            httpcore.AsyncHTTP11Connection(origin, stream), stream
+        )
+
+    def put_back(
+        self, instance: documents.Instance, connection: Connection
+    ) -> None:
+        """Keep a connection whose answer was read whole."""
+        idle = self._idle_by_id.setdefault(instance.id, [])
+        if not connection.http.is_idle() or len(idle) >= IDLE_LIMIT:
+            connection.stream.close()
+            return
+        idle.append(Idle(connection, trio.current_time()))
+
+    def close_expired(self) -> None:
+        """Close what was idle for too long; call it now and then."""
+        oldest = trio.current_time() - IDLE_LIFETIME
+        for instance_id, idle in list(self._idle_by_id.items()):
+            while idle and idle[0].since < oldest:
+                idle.pop(0).connection.stream.close()
+            if not idle:
+                del self._idle_by_id[instance_id]
+
+    def close_all(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle_by_id.values():
+            for each in idle:
+                each.connection.stream.close()
+        self._idle_by_id.clear()
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -0,0 +1,113 @@
+"""Counts how requests and attempts end."""
+
+import enum
+import functools
+import itertools
+
+import prometheus_client
+
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import exchange
+from primrosemill.proxy import plugs
+from primrosemill.telemetry import metrics
+
+
+class RequestOutcome(enum.StrEnum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    ABORTED = "aborted"
+    CALLER_GONE = "caller_gone"
+
+
+class Counters:
+    """Holds the metrics of the HTTP path."""
+
+    def __init__(
+        self, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
+        self.registry = registry or prometheus_client.CollectorRegistry()
+        self.requests = metrics.ReasonCounter(
+            "requests",
+            "Requests by how they ended for the caller.",
+            "outcome",
+            RequestOutcome,
+            self.registry,
+        )
+        self.refusals = metrics.ReasonCounter(
+            "refusals",
+            "Requests refused, by reason.",
+            "reason",
+            outcomes.RefusalReason,
+            self.registry,
+        )
+        self.retries = metrics.ReasonCounter(
+            "retries",
+            "Attempts followed by another one, by why they failed.",
+            "reason",
+            itertools.chain(outcomes.NotRunReason, outcomes.UnknownReason),
+            self.registry,
+        )
+        self.unknowns = metrics.ReasonCounter(
+            "unknowns",
+            "Requests of which nobody can tell whether they ran, by reason.",
+            "reason",
+            outcomes.UnknownReason,
+            self.registry,
+        )
+        self.aborts = metrics.ReasonCounter(
+            "aborts",
+            "Answers reset after their start went on, by reason.",
+            "reason",
+            outcomes.UnknownReason,
+            self.registry,
+        )
+        self.latency = metrics.latency_histogram(
+            "request_seconds",
+            "Seconds from a request's head to its last byte.",
+            self.registry,
+        )
+
+    def count_retry(self, failure: outcomes.NotRun | outcomes.Unknown) -> None:
+        """Count an attempt that another one follows."""
+        self.retries.count(failure.reason)
+
+    def count_ending(self, ending: exchange.Ending, elapsed: float) -> None:
+        """Count a request that ended; ``elapsed`` is in seconds."""
+        self.latency.observe(elapsed)
+        _count_ending(ending, self)
+
+
+@functools.singledispatch
+def _count_ending(ending: exchange.Ending, counters: Counters) -> None:
+    raise NotImplementedError(type(ending))
+
+
+@_count_ending.register
+def _count_relayed(ending: exchange.Relayed, counters: Counters) -> None:
+    counters.requests.count(RequestOutcome.ANSWERED)
+
+
+@_count_ending.register
+def _count_aborted(ending: exchange.Aborted, counters: Counters) -> None:
+    counters.requests.count(RequestOutcome.ABORTED)
+    counters.aborts.count(ending.reason)
+
+
+@_count_ending.register
+def _count_gone(ending: exchange.CallerGone, counters: Counters) -> None:
+    counters.requests.count(RequestOutcome.CALLER_GONE)
+
+
+@_count_ending.register
+def _count_refused(ending: plugs.Refused, counters: Counters) -> None:
+    counters.requests.count(RequestOutcome.NOT_RUN)
+    counters.refusals.count(ending.reason)
+
+
+@_count_ending.register
+def _count_unknown(ending: outcomes.Unknown, counters: Counters) -> None:
+    counters.requests.count(RequestOutcome.UNKNOWN)
+    counters.unknowns.count(ending.reason)
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -3,8 +3,6 @@
 import random
 import typing
 
-import hypercorn.config
-import hypercorn.trio
 import trio
 
 from primrosemill.configuration import assembly
@@ -14,10 +12,12 @@
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
 from primrosemill.proxy import application
+from primrosemill.proxy import server
 from primrosemill.proxy import settings as proxy_settings
 
 WATCH_WAIT = 30.0  # seconds
 STORE_RETRY_PAUSE = 1.0  # seconds
+HOUSEKEEPING_INTERVAL = 0.05  # seconds
 
 
 class Ports(typing.NamedTuple):
@@ -38,6 +38,7 @@
         self._settings = settings
         self._store = store or over_http.HttpStore(settings.platform_address)
         self._application = application.Application(generator)
+        self._server = server.Server(self._application)
         self._assembled: assembly.Assembled | None = None
 
     async def run(
@@ -46,27 +47,20 @@
         task_status: trio.TaskStatus[Ports] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled; reports its ports once it listens."""
-        config = hypercorn.config.Config()
-        config.bind = [f"{self._settings.ip}:{self._settings.caller_port}"]
-        config.accesslog = None
-        config.errorlog = None
         async with trio.open_nursery() as nursery:
             await nursery.start(self._follow_store)
-            binds = await nursery.start(
-                hypercorn.trio.serve, self._serve_scope, config
+            port = await nursery.start(
+                self._server.run,
+                self._settings.ip,
+                self._settings.caller_port,
             )
-            task_status.started(Ports(int(binds[0].rpartition(":")[2])))
+            task_status.started(Ports(port))
+            nursery.start_soon(self._keep_house)
 
-    async def _serve_scope(
-        self,
-        scope: application.Scope,
-        receive: application.Receive,
-        send: application.Send,
-    ) -> None:
-        if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
-        else:
-            await self._application(scope, receive, send)
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_INTERVAL)
+            self._application.keep_house()
 
     async def _follow_store(
         self, *, task_status: trio.TaskStatus[None]
@@ -111,13 +105,3 @@
             return
         self._assembled = result.ok
         self._application.set_document(result.ok.document)
-
-
-async def _answer_lifespan(
-    receive: application.Receive, send: application.Send
-) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -0,0 +1,176 @@
+"""Carries one request from its admission to its one answer."""
+
+import typing
+
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import attempts
+from primrosemill.proxy import callers
+from primrosemill.proxy import flights
+from primrosemill.proxy import hedging
+from primrosemill.proxy import plugs
+
+ANYWHERE: frozenset[str] = frozenset()
+TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
+
+
+class Relayed(typing.NamedTuple):
+    """An answer went to the caller, whole."""
+
+    status: int
+
+
+class Aborted(typing.NamedTuple):
+    """An answer broke after its start went on to the caller."""
+
+    reason: outcomes.UnknownReason
+
+
+class CallerGone(typing.NamedTuple):
+    """The caller left before its answer was whole."""
+
+
+Ending = Relayed | Aborted | CallerGone | plugs.Refused | outcomes.Unknown
+Failure = outcomes.NotRun | outcomes.Unknown
+OnRetry = typing.Callable[[Failure], None]
+
+
+class Exchange:
+    """Makes attempts until one is answered or none may follow."""
+
+    def __init__(
+        self,
+        context: flights.Context,
+        caller: callers.Caller,
+        retries: plugs.RetryPolicy,
+        on_retry: OnRetry,
+    ) -> None:
+        self._context = context
+        self._caller = caller
+        self._retries = retries
+        self._on_retry = on_retry
+        self._attempts = 0
+        self._flights: list[flights.Flight] = []
+        self._unknown: outcomes.Unknown | None = None
+
+    @property
+    def unknown(self) -> outcomes.Unknown | None:
+        """Return why the request may have run, or None if it did not."""
+        return self._unknown
+
+    async def run(self) -> Ending:
+        """Make attempts until the request is resolved."""
+        excluded = ANYWHERE
+        while True:
+            instance = await self._context.dispatcher.acquire(excluded)
+            if isinstance(instance, plugs.Refused):
+                return self._unknown or instance
+            ending = await self._attempt(instance)
+            if not isinstance(ending, Failure):
+                return ending
+            decision = self._decide(ending)
+            if isinstance(decision, plugs.Refused | outcomes.Unknown):
+                return decision
+            self._on_retry(ending)
+            excluded = frozenset({instance.id})
+            await trio.sleep(decision.pause)
+
+    def _decide(
+        self, failure: Failure
+    ) -> plugs.Decision | plugs.Refused | outcomes.Unknown:
+        """Decide what follows a failed attempt.
+
+        The two checks that come before the policy hold the promise that
+        what must not be repeated runs at most once.
+        """
+        outgoing = self._context.outgoing
+        if isinstance(failure, outcomes.Unknown) and not outgoing.idempotent:
+            return failure
+        if not outgoing.body.replayable:
+            return self._unknown or plugs.Refused(
+                outcomes.RefusalReason.BODY_SENT
+            )
+        decision = self._retries.decide(self._facts(failure))
+        if decision.action is plugs.Action.GIVE_UP:
+            return self._unknown or plugs.Refused(decision.reason)
+        return decision
+
+    def _facts(self, failure: Failure) -> plugs.RetryFacts:
+        outgoing = self._context.outgoing
+        return plugs.RetryFacts(
+            self._context.service,
+            outgoing.idempotent,
+            self._attempts,
+            failure,
+            trio.current_time(),
+            outgoing.deadline,
+        )
+
+    async def _attempt(
+        self, instance: documents.Instance
+    ) -> Relayed | Aborted | Failure:
+        flight = self._launch(instance)
+        try:
+            flight = await self._fly(flight)
+            if isinstance(flight.ending, attempts.Answer):
+                return await self._relay(flight, flight.ending)
+            return flight.ending
+        finally:
+            await self._land_all()
+
+    def _launch(self, instance: documents.Instance) -> flights.Flight:
+        self._attempts += 1
+        flight = flights.Flight(self._context, instance)
+        self._flights.append(flight)
+        return flight
+
+    async def _fly(self, flight: flights.Flight) -> flights.Flight:
+        delay = self._hedge_delay()
+        if delay is None:
+            await flight.run()
+            return flight
+        chosen = await hedging.Race().run(flight, delay, self._launch_hedge)
+        for each in tuple(self._flights):
+            if each is not chosen:
+                await self._land(each)
+        return chosen
+
+    def _hedge_delay(self) -> float | None:
+        outgoing = self._context.outgoing
+        # Two attempts can't read one upload, and only what is idempotent
+        # may run twice.
+        if not outgoing.idempotent or not outgoing.body.absent:
+            return None
+        return self._retries.hedge_delay(
+            self._context.service, trio.current_time()
+        )
+
+    def _launch_hedge(self) -> flights.Flight | None:
+        excluded = frozenset(each.instance.id for each in self._flights)
+        instance = self._context.dispatcher.try_acquire(excluded)
+        return None if instance is None else self._launch(instance)
+
+    async def _relay(
+        self, flight: flights.Flight, answer: attempts.Answer
+    ) -> Relayed | Aborted:
+        cut_off = await self._caller.relay(answer, flight.attempt)
+        flight.delivered = True
+        if cut_off is None:
+            return Relayed(answer.status)
+        flight.cut_off = cut_off
+        self._caller.abort()
+        return Aborted(cut_off.reason)
+
+    async def _land_all(self) -> None:
+        while self._flights:
+            await self._land(self._flights[-1])
+
+    async def _land(self, flight: flights.Flight) -> None:
+        self._flights.remove(flight)
+        if isinstance(flight.ending, outcomes.Unknown):
+            self._unknown = flight.ending
+        elif flight.ending is None and flight.attempt.maybe_ran:
+            self._unknown = TIMED_OUT
+        await flight.land()
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -0,0 +1,76 @@
+"""Accounts for attempts in flight: slot, connection and observer."""
+
+import typing
+
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import attempts
+from primrosemill.proxy import connections
+from primrosemill.proxy import dispatch
+from primrosemill.proxy import plugs
+
+CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
+CANCELLED_UNSENT = outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
+
+
+class Context(typing.NamedTuple):
+    """What all attempts of one request share."""
+
+    service: str
+    outgoing: attempts.Outgoing
+    dispatcher: dispatch.Dispatcher
+    pool: connections.Connections
+    observer: plugs.Observer
+
+
+class Flight:
+    """An attempt that holds a slot until :meth:`land`."""
+
+    def __init__(self, context: Context, instance: documents.Instance) -> None:
+        self._context = context
+        self.instance = instance
+        self.attempt = attempts.Attempt(
+            context.pool, instance, context.outgoing
+        )
+        self.ending: attempts.Ending | None = None
+        self.cut_off: outcomes.Unknown | None = None
+        self.delivered = False
+        self._start = plugs.AttemptStart(
+            context.service,
+            instance.id,
+            trio.current_time(),
+            context.outgoing.idempotent,
+        )
+        context.observer.attempt_started(self._start)
+
+    async def run(self) -> attempts.Ending:
+        """Send the attempt and read the start of its answer."""
+        self.ending = await self.attempt.run()
+        return self.ending
+
+    async def land(self) -> None:
+        """Free the slot and the connection, and report the outcome."""
+        await self.attempt.close()
+        self._context.dispatcher.release(self.instance.id)
+        self._context.observer.attempt_ended(self._end())
+
+    def _end(self) -> plugs.AttemptEnd:
+        elapsed = trio.current_time() - self._start.started
+        ending = self.ending
+        if isinstance(ending, attempts.Answer):
+            return plugs.AttemptEnd(
+                self._start,
+                self.cut_off or outcomes.Answered(ending.status, elapsed),
+                ending.first_byte - self._start.started,
+                elapsed,
+                ending.draining,
+                not self.delivered,
+            )
+        if ending is not None:
+            return plugs.AttemptEnd(self._start, ending, None, elapsed)
+        outcome = CANCELLED if self.attempt.maybe_ran else CANCELLED_UNSENT
+        return plugs.AttemptEnd(
+            self._start, outcome, None, elapsed, abandoned=True
+        )
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -0,0 +1,96 @@
+"""Names the headers of the caller interface and forwards all others."""
+
+import math
+
+from primrosemill.proxy import asgi
+
+CALLER = b"x-caller-id"
+TIMEOUT = b"x-request-timeout"
+OUTCOME = b"x-outcome"
+REASON = b"x-outcome-reason"
+RETRY_AFTER = b"retry-after"
+SHED = b"x-shed"
+INSTANCE_STATE = b"x-instance-state"
+DRAINING = b"draining"
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+CONNECTION = b"connection"
+CLOSE = (CONNECTION, b"close")
+CHUNKED = (TRANSFER_ENCODING, b"chunked")
+OUTCOME_ANSWERED = (OUTCOME, b"answered")
+OUTCOME_NOT_RUN = (OUTCOME, b"not-run")
+OUTCOME_UNKNOWN = (OUTCOME, b"unknown")
+
+HOP_NAMES = frozenset(
+    {
+        CONNECTION,
+        TRANSFER_ENCODING,
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"upgrade",
+    }
+)
+# The proxy answers "expect" itself and writes its own time left.
+REQUEST_NAMES_DROPPED = HOP_NAMES | {b"expect", TIMEOUT}
+# An instance must not speak for the proxy about the outcome.
+ANSWER_NAMES_DROPPED = HOP_NAMES | {OUTCOME, REASON, SHED}
+
+
+def forward(
+    headers: asgi.Headers, dropped_names: frozenset[bytes]
+) -> asgi.Headers:
+    """Return the headers that go on to the next hop."""
+    kept = []
+    named_by_connection: frozenset[bytes] = frozenset()
+    for header in headers:
+        name = header[0].lower()
+        if name == CONNECTION:
+            named_by_connection |= _tokens(header[1])
+        if name not in dropped_names:
+            kept.append(header)
+    if not named_by_connection - HOP_NAMES:
+        return kept
+    return [
+        header
+        for header in kept
+        if header[0].lower() not in named_by_connection
+    ]
+
+
+def _tokens(value: bytes) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower() for token in value.split(b",") if token.strip()
+    ) - {b"close"}
+
+
+def find(headers: asgi.Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header given in lower case, or None."""
+    for each_name, value in headers:
+        if each_name.lower() == name:
+            return value
+    return None
+
+
+def parse_timeout(value: bytes | None, ceiling: float) -> float:
+    """Return the caller's time left in seconds, at most the ceiling.
+
+    A value that is no number, negative or infinite counts as absent.
+    """
+    if value is None:
+        return ceiling
+    try:
+        seconds = float(value)
+    except ValueError:
+        return ceiling
+    if not math.isfinite(seconds) or seconds < 0:
+        return ceiling
+    return min(seconds, ceiling)
+
+
+def format_timeout(seconds: float) -> bytes:
+    """Return the time left as a header value."""
+    return f"{max(seconds, 0.0):.3f}".encode()
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -0,0 +1,178 @@
+"""Declares the decisions that the HTTP path asks for.
+
+The path carries facts to these protocols and acts on what they return. Each
+has a plain implementation here, so that the path runs without the others.
+"""
+
+import enum
+import typing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import outcomes
+
+RETRY_PAUSE = 0.005  # seconds
+LONGEST_PAUSE = 0.1  # seconds
+RETRY_AFTER = 1.0  # seconds
+
+
+class Refused(typing.NamedTuple):
+    """A request is turned away; ``retry_after`` is in seconds."""
+
+    reason: outcomes.RefusalReason
+    retry_after: float = RETRY_AFTER
+
+
+class Admission(typing.Protocol):
+    """Decides whether a caller may send another request now."""
+
+    def admit(self, caller: str, now: float) -> Refused | None:
+        """Return None to let the request in."""
+        ...
+
+
+class SlotTable(typing.Protocol):
+    """Grants slots of one service's instances without waiting."""
+
+    def set_service(self, service: documents.Service) -> None:
+        """Take a new revision."""
+        ...
+
+    def acquire(self, excluded: frozenset[str]) -> documents.Instance | None:
+        """Take a slot, or return None while none is free."""
+        ...
+
+    def release(self, instance_id: str) -> None:
+        """Give a slot back."""
+        ...
+
+
+class AttemptStart(typing.NamedTuple):
+    """An attempt that was begun; times are trio times."""
+
+    service: str
+    instance_id: str
+    started: float
+    idempotent: bool
+
+
+class AttemptEnd(typing.NamedTuple):
+    """An attempt that is over; times in seconds.
+
+    ``first_byte`` is None unless the instance began an answer, ``draining``
+    tells that the answer said the instance is leaving, ``abandoned`` that
+    the proxy itself gave the attempt up (caller gone or hedge lost).
+    """
+
+    start: AttemptStart
+    outcome: outcomes.Outcome
+    first_byte: float | None
+    elapsed: float
+    draining: bool = False
+    abandoned: bool = False
+
+
+class Observer(typing.Protocol):
+    """Learns of every attempt, for detection."""
+
+    def attempt_started(self, start: AttemptStart) -> None:
+        """Note an attempt in flight, whose age is evidence of a stall."""
+        ...
+
+    def attempt_ended(self, end: AttemptEnd) -> None:
+        """Note how an attempt ended."""
+        ...
+
+
+class Action(enum.StrEnum):
+    """What follows an attempt that brought no answer."""
+
+    RETRY = "retry"
+    GIVE_UP = "give_up"
+
+
+class RetryFacts(typing.NamedTuple):
+    """What a retry decision may hang on; ``attempts`` counts those made."""
+
+    service: str
+    idempotent: bool
+    attempts: int
+    outcome: outcomes.NotRun | outcomes.Unknown
+    now: float
+    deadline: float
+
+
+class Decision(typing.NamedTuple):
+    """What to do next; the pause is in seconds."""
+
+    action: Action
+    pause: float = 0.0
+    reason: outcomes.RefusalReason = outcomes.RefusalReason.RETRIES_SPENT
+
+
+class RetryPolicy(typing.Protocol):
+    """Decides on retries and hedges within their budget."""
+
+    def request_started(self, service: str, now: float) -> None:
+        """Count a request, which earns a share of a retry."""
+        ...
+
+    def decide(self, facts: RetryFacts) -> Decision:
+        """Decide after an attempt that brought no answer.
+
+        The path itself refuses to repeat what may have run and is not
+        idempotent, whatever is returned.
+        """
+        ...
+
+    def hedge_delay(self, service: str, now: float) -> float | None:
+        """Return after how long a second attempt may start, or None."""
+        ...
+
+
+class AdmitAll:
+    """Lets every request in."""
+
+    def admit(self, caller: str, now: float) -> Refused | None:
+        """Return None."""
+        return None
+
+
+class IgnoreAttempts:
+    """Learns nothing."""
+
+    def attempt_started(self, start: AttemptStart) -> None:
+        """Ignore the attempt."""
+
+    def attempt_ended(self, end: AttemptEnd) -> None:
+        """Ignore the attempt."""
+
+
+class RetryUntilDeadline:
+    """Retries with a growing pause for as long as the deadline allows."""
+
+    def request_started(self, service: str, now: float) -> None:
+        """Ignore the request; there is no budget."""
+
+    def decide(self, facts: RetryFacts) -> Decision:
+        """Retry unless the pause would outlast the deadline."""
+        pause = min(RETRY_PAUSE * 2 ** (facts.attempts - 1), LONGEST_PAUSE)
+        if facts.now + pause >= facts.deadline:
+            return Decision(Action.GIVE_UP)
+        return Decision(Action.RETRY, pause)
+
+    def hedge_delay(self, service: str, now: float) -> float | None:
+        """Return None: never hedge."""
+        return None
+
+
+class Plugs(typing.NamedTuple):
+    """The decisions that one application uses."""
+
+    admission: Admission
+    observer: Observer
+    retries: RetryPolicy
+
+
+def plain() -> Plugs:
+    """Return the implementations of this module."""
+    return Plugs(AdmitAll(), IgnoreAttempts(), RetryUntilDeadline())
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/wire.py
@@ -0,0 +1,118 @@
+"""Connects to instances and knows whether any byte was written.
+
+Implements httpcore's network stream. Whether a request may have run hangs
+on whether the kernel took a byte of it, so the knowledge sits at the send
+itself; the trace extension of httpcore tells only that a write began.
+"""
+
+import errno
+import select
+import socket
+import typing
+
+import httpcore
+import trio
+
+from primrosemill.configuration import document as documents
+
+NOT_ARMED = float("inf")
+
+
+class DeadlinePassedError(Exception):
+    """The deadline passed before the first byte was written."""
+
+
+class InstanceStream(httpcore.AsyncNetworkStream):
+    """A TCP connection to an instance, used for one attempt at a time."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._deadline = NOT_ARMED
+        self._held = b""
+        self._holding = False
+        self.wrote = False
+
+    def arm(self, deadline: float, hold_head: bool) -> None:
+        """Prepare for the next attempt.
+
+        With ``hold_head`` the first write waits for the second one, so that
+        the head and a small body leave in one segment.
+        """
+        self._deadline = deadline
+        self._holding = hold_head
+        self._held = b""
+        self.wrote = False
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes; raises DeadlinePassedError before the first one."""
+        if self._holding:
+            self._holding = False
+            self._held = buffer
+            return
+        data = self._held + buffer
+        self._held = b""
+        if not data:
+            return
+        if not self.wrote and trio.current_time() >= self._deadline:
+            raise DeadlinePassedError
+        await self._send(data)
+
+    async def _send(self, data: bytes) -> None:
+        view = memoryview(data)
+        try:
+            while view:
+                sent = await self._stream.socket.send(view)
+                self.wrote = True
+                view = view[sent:]
+        except trio.Cancelled:
+            raise
+        except (OSError, trio.ClosedResourceError) as error:
+            raise httpcore.WriteError(str(error)) from error
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Receive bytes; empty once the instance closed its side."""
+        try:
+            return await self._stream.socket.recv(max_bytes)
+        except (OSError, trio.ClosedResourceError) as error:
+            raise httpcore.ReadError(str(error)) from error
+
+    def close(self) -> None:
+        """Close at once; what the instance still sends is lost."""
+        self._stream.socket.close()
+
+    async def aclose(self) -> None:
+        """Close as httpcore asks for it, without waiting."""
+        self.close()
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        """Tell httpcore whether an idle connection became readable."""
+        if info == "is_readable":
+            return self.is_readable()
+        return None
+
+    def is_readable(self) -> bool:
+        """Tell whether bytes or the instance's close wait to be read."""
+        if self._stream.socket.fileno() < 0:
+            return True
+        poller = select.poll()
+        poller.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+
+async def connect(instance: documents.Instance) -> InstanceStream:
+    """Open a connection; raises OSError, also for a refusal."""
+    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await sock.connect((instance.ip, instance.port))
+    except BaseException:
+        sock.close()
+        raise
+    return InstanceStream(trio.SocketStream(sock))
+
+
+def is_refusal(error: OSError) -> bool:
+    """Tell whether the instance's machine answered that nobody listens."""
+    return error.errno == errno.ECONNREFUSED
--- a/packages/standins/src/primrosemill/standins/asgi.py
+++ b/packages/standins/src/primrosemill/standins/asgi.py
@@ -2,8 +2,10 @@
 
 import typing
 
+import hypercorn.app_wrappers
 import hypercorn.config
-import hypercorn.trio
+import hypercorn.trio.tcp_server
+import hypercorn.trio.worker_context
 import trio
 
 Scope = dict[str, typing.Any]
@@ -13,6 +15,8 @@
     [Scope, Receive, Send], typing.Coroutine[typing.Any, typing.Any, None]
 ]
 Header = tuple[bytes, bytes]
+CONNECTION_KEY = "connection"
+KEEP_ALIVE_TIMEOUT = 60.0  # seconds
 
 
 class Served(typing.NamedTuple):
@@ -27,20 +31,51 @@
         return f"{self.ip}:{self.port}"
 
 
-def with_lifespan(handler: Handler) -> Handler:
-    """Answer the lifespan messages for an application that ignores them."""
+class Connection:
+    """A client's connection, so that a stand-in can misbehave on it."""
 
-    async def application(scope: Scope, receive: Receive, send: Send) -> None:
-        if scope["type"] != "lifespan":
-            await handler(scope, receive, send)
-            return
-        while True:
-            message = await receive()
-            await send({"type": f"{message['type']}.complete"})
-            if message["type"] == "lifespan.shutdown":
-                return
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._socket = stream.socket
+        self.requests = 0
 
-    return application
+    def close(self) -> None:
+        """Close at once, whatever of an answer was sent."""
+        self._socket.close()
+
+
+def connection_of(scope: Scope) -> Connection:
+    """Return the connection that a request came on."""
+    return scope["state"][CONNECTION_KEY]
+
+
+class _Server:
+    """Serves a handler with hypercorn on accepted connections."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._application = hypercorn.app_wrappers.ASGIWrapper(self._handle)
+        self._context = hypercorn.trio.worker_context.WorkerContext(None)
+        self._config = hypercorn.config.Config()
+        self._config.accesslog = None
+        self._config.errorlog = None
+        self._config.keep_alive_max_requests = 2**62
+        self._config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT
+
+    async def _handle(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        connection_of(scope).requests += 1
+        await self._handler(scope, receive, send)
+
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until it closes."""
+        await hypercorn.trio.tcp_server.TCPServer(
+            self._application,
+            self._config,
+            self._context,
+            {CONNECTION_KEY: Connection(stream)},
+            stream,
+        ).run()
 
 
 async def serve(
@@ -51,17 +86,11 @@
     task_status: trio.TaskStatus[Served] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until cancelled; reports the address once it listens."""
-    config = hypercorn.config.Config()
-    config.bind = [f"{ip}:{port}"]
-    config.graceful_timeout = 0.1
-    config.accesslog = None
-    config.errorlog = None
-    async with trio.open_nursery() as nursery:
-        binds = await nursery.start(
-            hypercorn.trio.serve, with_lifespan(handler), config
-        )
-        bound_port = int(binds[0].rpartition(":")[2])
-        task_status.started(Served(ip, bound_port))
+    listeners = await trio.open_tcp_listeners(port, host=ip)
+    bound_port = listeners[0].socket.getsockname()[1]
+    task_status.started(Served(ip, bound_port))
+    server = _Server(handler)
+    await trio.serve_listeners(server.serve_connection, listeners)
 
 
 async def read_body(receive: Receive) -> bytes:
--- /dev/null
+++ b/packages/telemetry/src/primrosemill/telemetry/metrics.py
@@ -0,0 +1,64 @@
+"""Counts what a VM does, in the form that Prometheus reads.
+
+Each metric is described in docs/metrics.md, and a test compares the two.
+Label values come from enumerations, so their number is bounded.
+"""
+
+import enum
+import typing
+
+import prometheus_client
+
+PREFIX = "primrosemill_"
+LATENCY_BUCKETS = (  # seconds
+    *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1),
+    *(0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0),
+)
+
+
+class ReasonCounter:
+    """Counts events by the members of enumerations.
+
+    The child of each label value exists from the start: each reason is
+    shown as zero before it first occurs, and counting is one look-up.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        label: str,
+        values: typing.Iterable[enum.StrEnum],
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        counter = prometheus_client.Counter(
+            PREFIX + name, help_text, [label], registry=registry
+        )
+        self._children_by_value = {
+            value: counter.labels(value.value) for value in values
+        }
+
+    def count(self, value: enum.StrEnum) -> None:
+        """Add one."""
+        self._children_by_value[value].inc()
+
+
+def latency_histogram(
+    name: str, help_text: str, registry: prometheus_client.CollectorRegistry
+) -> prometheus_client.Histogram:
+    """Return a histogram of seconds."""
+    return prometheus_client.Histogram(
+        PREFIX + name, help_text, buckets=LATENCY_BUCKETS, registry=registry
+    )
+
+
+def gauge(
+    name: str,
+    help_text: str,
+    read: typing.Callable[[], float],
+    registry: prometheus_client.CollectorRegistry,
+) -> prometheus_client.Gauge:
+    """Return a gauge that is read when the metrics are."""
+    made = prometheus_client.Gauge(PREFIX + name, help_text, registry=registry)
+    made.set_function(read)
+    return made
