Read the settings from an INI file and run a VM from it

The daemon could only be started from Python with a hand-made tuple. The file is checked whole: each fault is a type with file, line, section, key, value and what is allowed. The settings gain the peer key, the bound on waiting requests and the time of a graceful stop; the daemon does not use these three yet.

--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -1,16 +1,18 @@
-"""Defines the primrosemill command, one object for each subcommand."""
-
-from importlib import metadata
+"""Defines the primrosemill command from its subcommands."""
 
 import click
 
+from primrosemill.cli import exits
+from primrosemill.cli import proxy
+from primrosemill.cli import version
+
+COMMANDS = (proxy.command, version.command)
+
 
-@click.group()
+@click.group(epilog=exits.HELP)
 def main() -> None:
     """Run and inspect a primrosemill proxy fleet."""
 
 
-@main.command()
-def version() -> None:
-    """Print the version of this program."""
-    click.echo(metadata.version("primrosemill-cli"))
+for command in COMMANDS:
+    main.add_command(command)
--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/proxy.py
@@ -0,0 +1,47 @@
+"""Runs one VM of the fleet until it is stopped."""
+
+import pathlib
+import random
+import sys
+
+import click
+import eliot
+import trio
+
+from primrosemill.cli import exits
+from primrosemill.proxy import daemon
+from primrosemill.proxy import settings as proxy_settings
+from primrosemill.proxy import settings_faults
+
+
+@click.command("proxy", epilog=exits.HELP)
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="The VM's INI file; see docs/settings.md.",
+)
+def command(path: pathlib.Path) -> None:
+    """Run a VM of the fleet in the foreground.
+
+    The address for callers goes to standard output once the VM listens;
+    its log goes to standard error, one JSON object a line.
+    """
+    result = proxy_settings.read(path)
+    if result.is_error():
+        exits.stop(
+            exits.Status.BAD_INPUT, map(settings_faults.describe, result.error)
+        )
+    eliot.to_file(sys.stderr)
+    try:
+        trio.run(_run, result.ok)
+    except* OSError as group:
+        exits.stop(exits.Status.FAILURE, map(str, group.exceptions))
+
+
+async def _run(settings: proxy_settings.Settings) -> None:
+    vm = daemon.Daemon(settings, random.Random())
+    async with trio.open_nursery() as nursery:
+        ports = await nursery.start(vm.run)
+        click.echo(f"callers: {settings.ip}:{ports.caller_port}")
--- a/packages/proxy/src/primrosemill/proxy/settings.py
+++ b/packages/proxy/src/primrosemill/proxy/settings.py
@@ -1,7 +1,27 @@
-"""Holds the settings of one VM, as read from its INI file."""
+"""Reads the settings of one VM from its INI file and checks them whole."""
 
+import ast
+import configparser
+import pathlib
 import typing
 
+import expression
+
+from primrosemill.proxy import settings_faults as faults
+from primrosemill.proxy import settings_schema as schema
+
+DEFAULT_WAITING_REQUESTS = 1_000
+DEFAULT_STOP_SECONDS = 60.0
+COMMENT_PREFIXES = "#;"
+# The parser fills other sections from this one; no file can name it.
+NO_DEFAULT_SECTION = "\n"
+ANY_PORT = "0"
+HIDDEN_VALUE = "(not shown)"
+FAULT_TYPES_BY_PROBLEM = {
+    schema.NotOfForm: faults.WrongType,
+    schema.NotInRange: faults.OutOfRange,
+}
+
 
 class Settings(typing.NamedTuple):
     """What a VM must know before it reads any configuration."""
@@ -15,3 +35,181 @@
     admin_port: int
     peer_port: int
     first_peers: tuple[str, ...] = ()
+    peer_key: bytes = b""
+    waiting_requests: int = DEFAULT_WAITING_REQUESTS
+    stop_seconds: float = DEFAULT_STOP_SECONDS
+
+
+class Entry(typing.NamedTuple):
+    """One key as it stands in the file."""
+
+    line: int
+    section: str
+    key: str
+    value: str
+
+
+class _File:
+    """Holds the entries of a file, and the faults found on the way."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.faults: list[faults.Fault] = []
+        self.lines_by_section: dict[str, int] = {}
+        self.entries_by_name: dict[tuple[str, str], Entry] = {}
+
+    def read(self, text: str) -> None:
+        """Read the sections and keys of a text."""
+        parser = configparser.RawConfigParser(
+            strict=False, default_section=NO_DEFAULT_SECTION
+        )
+        text = self._blank_lines_before_sections(text)
+        try:
+            parser.read_string(text)
+        except configparser.ParsingError as error:
+            for line, content in error.errors:
+                self._add_malformed(line, ast.literal_eval(content))
+        self._find_lines(text, parser)
+
+    def _blank_lines_before_sections(self, text: str) -> str:
+        """Take out what the parser would stop at, so that it goes on."""
+        lines = text.splitlines()
+        for number, line in enumerate(lines, 1):
+            if configparser.RawConfigParser.SECTCRE.match(line):
+                break
+            if line.strip() and line.strip()[0] not in COMMENT_PREFIXES:
+                self._add_malformed(number, line)
+                lines[number - 1] = ""
+        return "\n".join(lines)
+
+    def _add_malformed(self, line: int, content: str) -> None:
+        self.faults.append(
+            faults.MalformedLine(self.name, line, content.strip())
+        )
+
+    def _find_lines(
+        self, text: str, parser: configparser.RawConfigParser
+    ) -> None:
+        """Find where each section and key stands; the parser keeps no lines.
+
+        Indented lines go on with the value of the key above them.
+        """
+        section = ""
+        for number, line in enumerate(text.splitlines(), 1):
+            if not line or line[0].isspace() or line[0] in COMMENT_PREFIXES:
+                continue
+            header = parser.SECTCRE.match(line)
+            if header is not None:
+                section = header.group("header")
+                self.lines_by_section.setdefault(section, number)
+                continue
+            option = parser.OPTCRE.match(line)
+            if option is None or not parser.has_section(section):
+                continue
+            key = parser.optionxform(option.group("option").rstrip())
+            value = parser.get(section, key, fallback=option.group("value"))
+            self._add_entry(Entry(number, section, key, value))
+
+    def _add_entry(self, entry: Entry) -> None:
+        name = (entry.section, entry.key)
+        first = self.entries_by_name.setdefault(name, entry)
+        if first is not entry:
+            self.faults.append(
+                faults.DuplicateKey(self.name, *entry, first.line)
+            )
+
+
+def _check_sections(file: _File) -> None:
+    known = dict.fromkeys(key.section for key in schema.KEYS)
+    required = dict.fromkeys(
+        key.section for key in schema.KEYS if key.default is None
+    )
+    for section, line in file.lines_by_section.items():
+        if section in known:
+            continue
+        file.faults.append(
+            faults.UnknownSection(file.name, line, section, ", ".join(known))
+        )
+    for section in required:
+        if section in file.lines_by_section:
+            continue
+        names = ", ".join(
+            key.name for key in schema.KEYS if key.section == section
+        )
+        file.faults.append(faults.MissingSection(file.name, section, names))
+
+
+def _check_unknown_keys(file: _File) -> None:
+    names_by_section: dict[str, list[str]] = {}
+    for key in schema.KEYS:
+        names_by_section.setdefault(key.section, []).append(key.name)
+    for entry in file.entries_by_name.values():
+        names = names_by_section.get(entry.section)
+        # The keys of an unknown section are covered by that section's fault.
+        if names is None or entry.key in names:
+            continue
+        file.faults.append(
+            faults.UnknownKey(file.name, *entry, ", ".join(names))
+        )
+
+
+def _parse_key(file: _File, key: schema.Key) -> typing.Any:
+    """Return the value of a key, or None beside a new fault."""
+    entry = file.entries_by_name.get((key.section, key.name))
+    text = key.default if entry is None else entry.value
+    allowed = schema.describe(key.form)
+    if text is None:
+        line = file.lines_by_section.get(key.section)
+        if line is not None:
+            file.faults.append(
+                faults.MissingKey(
+                    file.name, line, key.section, key.name, allowed
+                )
+            )
+        return None
+    result = schema.parse(key.form, text)
+    if result.is_ok():
+        return result.ok
+    fault_type = FAULT_TYPES_BY_PROBLEM[type(result.error)]
+    if entry is not None:
+        if isinstance(key.form, schema.SecretKey):
+            entry = entry._replace(value=HIDDEN_VALUE)
+        file.faults.append(fault_type(file.name, *entry, allowed))
+    return None
+
+
+def _check_ports(file: _File) -> None:
+    names_by_port: dict[str, str] = {}
+    for entry in file.entries_by_name.values():
+        if entry.section != "ports" or entry.value == ANY_PORT:
+            continue
+        other = names_by_port.setdefault(entry.value, entry.key)
+        if other != entry.key:
+            file.faults.append(faults.SharedPort(file.name, *entry, other))
+
+
+def parse(
+    text: str, file_name: str
+) -> expression.Result[Settings, tuple[faults.Fault, ...]]:
+    """Return the settings in a text, or every fault that it has."""
+    file = _File(file_name)
+    file.read(text)
+    _check_sections(file)
+    _check_unknown_keys(file)
+    values_by_field = {key.field: _parse_key(file, key) for key in schema.KEYS}
+    _check_ports(file)
+    if file.faults:
+        return expression.Error(tuple(file.faults))
+    return expression.Ok(Settings(**values_by_field))
+
+
+def read(
+    path: pathlib.Path,
+) -> expression.Result[Settings, tuple[faults.Fault, ...]]:
+    """Return the settings in a file, or every fault that it has."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = faults.UnreadableFile(str(path), str(error))
+        return expression.Error((fault,))
+    return parse(text, str(path))
