Type the outcomes on the wire and stream both ways

Tests bring about each way an attempt can end: refused, shed, closed before and after its first byte, truncated, garbage, stalled, a connection closed as it is reused, a pause past the deadline just before the first write, a caller that leaves, an answer cut off after its start.

Two faults found by them: connections were never reused, because the end of an answer's body does not return the connection to idle; and a refusal in the middle of an upload was lost, because closing with unread bytes resets the connection. The proxy now completes the answer and reads on.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -66,13 +66,13 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer one request."""
-        caller = callers.Caller(
-            send, scope["state"][callers.CONNECTION_KEY], self._is_leaving
-        )
+        body = replay.ReplayBody(receive, absent=_has_no_body(scope))
+        connection = scope["state"][callers.CONNECTION_KEY]
+        caller = callers.Caller(send, body, connection, self._is_leaving)
         self.in_flight += 1
         started = trio.current_time()
         try:
-            ending = await self._resolve(scope, receive, caller)
+            ending = await self._resolve(scope, body, caller)
             await _conclude(ending, caller)
             self._counters.count_ending(ending, trio.current_time() - started)
         finally:
@@ -83,7 +83,10 @@
         return self.leaving
 
     async def _resolve(
-        self, scope: asgi.Scope, receive: asgi.Receive, caller: callers.Caller
+        self,
+        scope: asgi.Scope,
+        body: replay.ReplayBody,
+        caller: callers.Caller,
     ) -> exchange.Ending:
         now = trio.current_time()
         match = self._find(scope)
@@ -93,7 +96,7 @@
         refused = self._plugs.admission.admit(caller_id.decode("latin-1"), now)
         if refused is not None:
             return refused
-        outgoing = _outgoing(scope, receive, match.route, now)
+        outgoing = _outgoing(scope, body, match.route, now)
         self._plugs.retries.request_started(match.service, now)
         return await self._exchange(match.service, outgoing, caller)
 
@@ -149,9 +152,16 @@
         await caller.tell_unknown(ending)
 
 
+def _has_no_body(scope: asgi.Scope) -> bool:
+    lines = scope["headers"]
+    if headers.find(lines, headers.TRANSFER_ENCODING) is not None:
+        return False
+    return headers.find(lines, headers.CONTENT_LENGTH) in (None, b"0")
+
+
 def _outgoing(
     scope: asgi.Scope,
-    receive: asgi.Receive,
+    body: replay.ReplayBody,
     route: documents.Route,
     now: float,
 ) -> attempts.Outgoing:
@@ -164,16 +174,13 @@
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     forwarded = headers.forward(lines, headers.REQUEST_NAMES_DROPPED)
-    chunked = headers.find(lines, headers.TRANSFER_ENCODING) is not None
-    if chunked:
+    if headers.find(lines, headers.TRANSFER_ENCODING) is not None:
         forwarded.append(headers.CHUNKED)
-    length = headers.find(lines, headers.CONTENT_LENGTH)
-    absent = not chunked and length in (None, b"0")
     return attempts.Outgoing(
         scope["method"].encode(),
         target,
         forwarded,
-        replay.ReplayBody(receive, absent=absent),
+        body,
         route.idempotent,
         now + timeout,
     )
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -69,6 +69,7 @@
         self._instance = instance
         self._outgoing = outgoing
         self._connection: connections.Connection | None = None
+        self._response: httpcore.Response | None = None
         self._pieces: typing.AsyncGenerator[bytes, None] | None = None
         self._whole = False
         self.maybe_ran = False
@@ -91,6 +92,7 @@
         try:
             return await anext(self._pieces)
         except StopAsyncIteration:
+            await self._response.aclose()
             self._whole = True
             return None
         except (httpcore.ProtocolError, httpcore.NetworkError):
@@ -136,6 +138,7 @@
             self._request(has_body)
         )
         first_byte = trio.current_time()
+        self._response = response
         self._pieces = aiter(response.stream)
         ending = await self._hold(response, first_byte)
         if _is_shed(response):
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -10,10 +10,11 @@
 from primrosemill.proxy import attempts
 from primrosemill.proxy import headers
 from primrosemill.proxy import plugs
+from primrosemill.proxy import replay
 
 CONNECTION_KEY = "connection"
 PROGRESS_TIMEOUT = 60.0  # seconds without progress once an answer began
-REFUSAL_TIMEOUT = 2.0  # seconds for a refusal to leave
+LINGER_TIMEOUT = 10.0  # seconds that a refused upload is read on
 STATUS_NO_ROUTE = 404
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_BAD_GATEWAY = 502
@@ -42,10 +43,12 @@
     def __init__(
         self,
         send: asgi.Send,
+        body: replay.ReplayBody,
         connection: CallerConnection,
         leaving: typing.Callable[[], bool],
     ) -> None:
         self._send = send
+        self._body = body
         self._connection = connection
         self._leaving = leaving
         self._scope: trio.CancelScope | None = None
@@ -75,7 +78,7 @@
             asgi.start_message(answer.status, self._headers(answer))
         )
         if answer.whole:
-            await self._send(asgi.body_message(answer.held, False))
+            await self._finish(answer.held)
             return None
         return await self._relay_pieces(answer.held, attempt)
 
@@ -88,7 +91,7 @@
             self._note_progress()
             piece = await attempt.next_piece()
         if piece is None:
-            await self._send(asgi.body_message(b"", False))
+            await self._finish(b"")
         return piece
 
     async def refuse(self, refused: plugs.Refused) -> None:
@@ -118,19 +121,30 @@
         )
 
     async def _conclude(self, status: int, lines: asgi.Headers) -> None:
-        """Send a whole answer of the proxy's own.
-
-        The server may wait for a reader of an upload that nobody wants any
-        more, so the connection is given up after a moment.
-        """
         if self._leaving():
             lines.append(headers.CLOSE)
+        lines.append(headers.EMPTY)
         self.started = True
-        with trio.move_on_after(REFUSAL_TIMEOUT) as scope:
-            await asgi.respond(self._send, status, lines)
+        with trio.move_on_after(LINGER_TIMEOUT) as scope:
+            await self._send(asgi.start_message(status, lines))
+            await self._finish(b"")
         if scope.cancelled_caught:
             self.abort()
 
+    async def _finish(self, last_piece: bytes) -> None:
+        """End the answer, after what is left of the upload was read.
+
+        The answer is complete for its reader before that. Closing with
+        unread bytes would reset the connection, and a caller that is still
+        sending would lose the answer.
+        """
+        if not self._body.complete:
+            if last_piece:
+                await self._send(asgi.body_message(last_piece, True))
+                last_piece = b""
+            await self._body.discard()
+        await self._send(asgi.body_message(last_piece, False))
+
     def _headers(self, answer: attempts.Answer) -> asgi.Headers:
         lines = headers.forward(answer.headers, headers.ANSWER_NAMES_DROPPED)
         lines.append(headers.OUTCOME_ANSWERED)
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -16,6 +16,7 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 CONNECTION = b"connection"
 CLOSE = (CONNECTION, b"close")
+EMPTY = (CONTENT_LENGTH, b"0")
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
 OUTCOME_ANSWERED = (OUTCOME, b"answered")
 OUTCOME_NOT_RUN = (OUTCOME, b"not-run")
--- a/packages/proxy/src/primrosemill/proxy/replay.py
+++ b/packages/proxy/src/primrosemill/proxy/replay.py
@@ -56,3 +56,13 @@
             self._kept.append(chunk)
         self.complete = not message.get("more_body", False)
         return chunk
+
+    async def discard(self) -> None:
+        """Read to the end and keep nothing; also ends if the caller left."""
+        self.replayable = False
+        self._kept.clear()
+        while not self.complete:
+            message = await self._receive()
+            if message["type"] != "http.request":
+                return
+            self.complete = not message.get("more_body", False)
--- /dev/null
+++ b/tests/proxy/test_outcomes.py
@@ -0,0 +1,366 @@
+import functools
+import socket
+import time
+
+import testtools
+import trio
+import trio.testing
+
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import plugs
+from primrosemill.standins import faults
+from primrosemill.standins import instance
+from tests.builders import path as builders
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 X\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n"
+
+
+async def answer_whole(stream, count):
+    await stream.send_all(WHOLE)
+    return True
+
+
+async def close_silently(stream, count):
+    return False
+
+
+async def close_second(stream, count):
+    if count == 0:
+        return await answer_whole(stream, count)
+    return False
+
+
+async def shed(stream, count):
+    await stream.send_all(SHED)
+    return True
+
+
+async def never_answer(stream, count):
+    await trio.sleep_forever()
+
+
+async def speak_garbage(stream, count):
+    await stream.send_all(b"garbage\r\n\r\n")
+    return False
+
+
+def truncate_at(size):
+    async def truncate(stream, count):
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n"
+        await stream.send_all(head + b"x" * size)
+        return False
+
+    return truncate
+
+
+class Recorder:
+    """Records attempts in place of a detector."""
+
+    def __init__(self):
+        self.ends = []
+        self.ended = trio.Event()
+
+    def attempt_started(self, start):
+        pass
+
+    def attempt_ended(self, end):
+        self.ends.append(end)
+        self.ended.set()
+
+    def reasons(self):
+        return [
+            getattr(end.outcome, "reason", "answered") for end in self.ends
+        ]
+
+
+class OutcomeCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.recorder = Recorder()
+        self.plugs = plugs.plain()._replace(observer=self.recorder)
+
+    def run_with(self, scripts, check, **options):
+        trio.run(functools.partial(self._run, scripts, check, options))
+
+    async def _run(self, scripts, check, options):
+        async with trio.open_nursery() as nursery:
+            raws = [builders.RawInstance(script) for script in scripts]
+            addresses = [await nursery.start(raw.serve) for raw in raws]
+            path = await builders.start_path(
+                nursery, addresses, self.plugs, **options
+            )
+            with trio.fail_after(20):
+                await check(path, raws)
+            nursery.cancel_scope.cancel()
+
+    def assert_outcome(self, response, status, outcome, reason=None):
+        self.assertEqual(status, response.status)
+        self.assertEqual(outcome, builders.header(response, "x-outcome"))
+        self.assertEqual(reason, builders.header(response, "x-outcome-reason"))
+
+
+class NotRunTest(OutcomeCase):
+    def test_a_shed_request_is_sent_to_another_instance(self):
+        async def check(path, raws):
+            response = await builders.call(
+                path, builders.ONCE_PATH, method="POST"
+            )
+            self.assert_outcome(response, 200, "answered")
+
+        self.run_with([shed, answer_whole], check)
+
+    def test_every_instance_shedding_ends_as_not_run(self):
+        async def check(path, raws):
+            response = await builders.call(
+                path, builders.ONCE_PATH, method="POST"
+            )
+            self.assert_outcome(response, 503, "not-run", "retries_spent")
+            self.assertEqual("1", builders.header(response, "retry-after"))
+            self.assertEqual({"shed"}, set(self.recorder.reasons()))
+
+        self.run_with([shed], check, deadline=0.2)
+
+    def test_a_deadline_while_waiting_for_a_slot_is_not_run(self):
+        async def check(path, raws):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    functools.partial(
+                        builders.call,
+                        path,
+                        builders.IDEMPOTENT_PATH,
+                        headers={"x-request-timeout": "1.5"},
+                    )
+                )
+                await raws[0].met.wait()
+                response = await builders.call(
+                    path,
+                    builders.IDEMPOTENT_PATH,
+                    headers={"x-request-timeout": "0.1"},
+                )
+            self.assert_outcome(response, 504, "not-run", "deadline")
+            self.assertEqual(1, len(raws[0].heads))
+
+        self.run_with([never_answer], check, slots=1)
+
+    def test_nothing_is_sent_after_a_pause_past_the_deadline(self):
+        async def check(path, raws):
+            response = await builders.call(
+                path, builders.ONCE_PATH, method="POST"
+            )
+            self.assertEqual([], raws[0].heads)
+            self.assertEqual("not-run", builders.header(response, "x-outcome"))
+
+        # The whole process sleeps just before the attempt is sent.
+        self.recorder.attempt_started = lambda start: time.sleep(0.4)
+        self.run_with([answer_whole], check, deadline=0.3)
+
+
+class UnknownTest(OutcomeCase):
+    def post(self, path, **options):
+        return builders.call(
+            path, builders.ONCE_PATH, method="POST", **options
+        )
+
+    def test_a_close_without_answer_is_unknown_and_not_repeated(self):
+        async def check(path, raws):
+            response = await self.post(path)
+            self.assert_outcome(response, 502, "unknown", "closed")
+            self.assertEqual(1, sum(len(raw.heads) for raw in raws))
+
+        self.run_with([close_silently, close_silently], check)
+
+    def test_a_truncated_answer_is_unknown_and_not_repeated(self):
+        async def check(path, raws):
+            response = await self.post(path)
+            self.assert_outcome(response, 502, "unknown", "truncated")
+            self.assertEqual(1, len(raws[0].heads))
+
+        self.run_with([truncate_at(50)], check)
+
+    def test_garbage_is_unknown(self):
+        async def check(path, raws):
+            response = await self.post(path)
+            self.assert_outcome(response, 502, "unknown", "protocol")
+
+        self.run_with([speak_garbage], check)
+
+    def test_no_answer_until_the_deadline_is_unknown(self):
+        async def check(path, raws):
+            response = await self.post(path)
+            self.assert_outcome(response, 504, "unknown", "timeout")
+            self.assertEqual(["cancelled"], self.recorder.reasons())
+
+        self.run_with([never_answer], check, deadline=0.2)
+
+    def test_a_retried_request_that_may_have_run_is_never_called_not_run(
+        self,
+    ):
+        async def check(path, raws):
+            response = await builders.call(path, builders.IDEMPOTENT_PATH)
+            self.assert_outcome(response, 502, "unknown", "closed")
+            self.assertGreater(len(raws[0].heads), 1)
+
+        self.run_with([close_silently], check, deadline=0.3)
+
+    def test_a_connection_closed_on_reuse_is_unknown(self):
+        async def check(path, raws):
+            await self.post(path)
+            response = await self.post(path, tag="r2")
+            self.assert_outcome(response, 502, "unknown", "closed")
+            self.assertEqual(1, raws[0].connections)
+
+        self.run_with([close_second], check)
+
+
+class RetryTest(OutcomeCase):
+    def test_an_idempotent_request_survives_each_broken_instance(self):
+        async def check(path, raws):
+            for number in range(20):
+                response = await builders.call(
+                    path, builders.IDEMPOTENT_PATH, tag=f"r{number}"
+                )
+                self.assert_outcome(response, 200, "answered")
+
+        self.run_with(
+            [
+                close_silently,
+                truncate_at(50),
+                speak_garbage,
+                shed,
+                answer_whole,
+            ],
+            check,
+        )
+
+    def test_a_connection_found_closed_is_not_used_again(self):
+        async def check(path, raws):
+            for number in range(3):
+                response = await builders.call(
+                    path, builders.ONCE_PATH, tag=f"r{number}", method="POST"
+                )
+                self.assert_outcome(response, 200, "answered")
+                await trio.testing.wait_all_tasks_blocked(0.01)
+
+        async def answer_and_close(stream, count):
+            await answer_whole(stream, count)
+            return False
+
+        self.run_with([answer_and_close], check)
+
+
+class CallerSideTest(OutcomeCase):
+    async def raw_call(self, path, version=b"1.1"):
+        stream = await trio.open_tcp_stream(builders.IP, path.port)
+        await stream.send_all(
+            b"GET /slots/today HTTP/" + version + b"\r\nhost: a\r\n\r\n"
+        )
+        return stream
+
+    async def read_until_broken(self, stream):
+        with testtools.ExpectedException(trio.BrokenResourceError):
+            async for _ in stream:
+                pass
+
+    def test_an_answer_cut_off_after_its_start_resets_the_caller(self):
+        async def check(path, raws):
+            for version in (b"1.1", b"1.0"):
+                stream = await self.raw_call(path, version)
+                await self.read_until_broken(stream)
+
+        async def cut_off(stream, count):
+            head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            await stream.send_all(head + b"5\r\nfirst\r\n")
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            return False
+
+        self.run_with([cut_off], check)
+
+    def test_a_caller_that_leaves_cancels_its_attempt(self):
+        closed = trio.Event()
+
+        async def wait_for_close(stream, count):
+            try:
+                await stream.receive_some(1)
+            finally:
+                closed.set()
+            return False
+
+        async def check(path, raws):
+            stream = await self.raw_call(path)
+            await raws[0].met.wait()
+            await stream.aclose()
+            await closed.wait()
+            await self.recorder.ended.wait()
+            self.assertTrue(self.recorder.ends[0].abandoned)
+
+        self.run_with([wait_for_close], check)
+
+    def test_instances_learn_the_time_left(self):
+        async def check(path, raws):
+            await builders.call(
+                path,
+                builders.IDEMPOTENT_PATH,
+                headers={"X-Request-Timeout": "2"},
+            )
+            lines = raws[0].heads[0].lower().split(b"\r\n")
+            left = [
+                float(line.partition(b":")[2])
+                for line in lines
+                if line.startswith(b"x-request-timeout")
+            ]
+            self.assertEqual(1, len(left))
+            self.assertTrue(0 < left[0] <= 2)
+
+        self.run_with([answer_whole], check)
+
+
+class RefusedConnectionTest(OutcomeCase):
+    def test_nobody_listening_is_not_run(self):
+        trio.run(self._check)
+
+    async def _check(self):
+        async with trio.open_nursery() as nursery:
+            with socket.socket() as unheard:
+                unheard.bind((builders.IP, 0))
+                address = f"{builders.IP}:{unheard.getsockname()[1]}"
+                path = await builders.start_path(
+                    nursery, [address], self.plugs, deadline=0.2
+                )
+                response = await builders.call(
+                    path, builders.ONCE_PATH, method="POST"
+                )
+            self.assert_outcome(response, 503, "not-run", "retries_spent")
+            self.assertEqual(
+                {outcomes.NotRunReason.CONNECT_REFUSED},
+                set(self.recorder.reasons()),
+            )
+            nursery.cancel_scope.cancel()
+
+
+class StandinFaultsTest(testtools.TestCase):
+    def test_a_sick_instance_is_survived_by_idempotent_requests(self):
+        trio.run(self._check)
+
+    async def _check(self):
+        async with trio.open_nursery() as nursery:
+            standins = [
+                instance.InstanceStandin(f"res-{number}", 3, 0.0)
+                for number in range(2)
+            ]
+            addresses = await builders.start_standins(nursery, standins)
+            path = await builders.start_path(nursery, addresses)
+            for mode in (
+                faults.Mode.TRUNCATE,
+                faults.Mode.CLOSE_ON_REUSE,
+                faults.Mode.CLOSE_AFTER_RUN,
+            ):
+                standins[0].set_sickness(faults.Sickness(mode))
+                for number in range(10):
+                    tag = f"{mode}-{number}"
+                    response = await builders.call(
+                        path, builders.IDEMPOTENT_PATH, tag
+                    )
+                    self.assertEqual(200, response.status)
+                    self.assertIn(tag.encode(), response.content)
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/proxy/test_streaming.py
@@ -0,0 +1,210 @@
+import functools
+
+import testtools
+import trio
+
+from primrosemill.proxy import plugs
+from primrosemill.proxy import replay
+from primrosemill.standins import instance
+from tests.builders import path as builders
+
+SHED = b"HTTP/1.1 503 X\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n"
+PIECE = b"p" * 16_384
+PIECES = 100
+
+
+def messages(*chunks):
+    left = [
+        {"type": "http.request", "body": chunk, "more_body": True}
+        for chunk in chunks
+    ]
+    left.append({"type": "http.request", "body": b"", "more_body": False})
+
+    async def receive():
+        return left.pop(0)
+
+    return receive
+
+
+class ReplayBodyTest(testtools.TestCase):
+    async def _read(self, body):
+        return b"".join([chunk async for chunk in body.chunks()])
+
+    def test_a_small_body_can_be_read_again(self):
+        async def check():
+            body = replay.ReplayBody(messages(b"ab", b"cd"), absent=False)
+            self.assertEqual(b"abcd", await self._read(body))
+            self.assertTrue(body.replayable)
+            self.assertEqual(b"abcd", await self._read(body))
+
+        trio.run(check)
+
+    def test_a_half_read_body_starts_over(self):
+        async def check():
+            body = replay.ReplayBody(messages(b"ab", b"cd"), absent=False)
+            async for _ in body.chunks():
+                break
+            self.assertEqual(b"abcd", await self._read(body))
+
+        trio.run(check)
+
+    def test_a_body_read_past_its_buffer_is_not_replayable(self):
+        async def check():
+            body = replay.ReplayBody(
+                messages(b"ab", b"cd"), absent=False, buffer_size=3
+            )
+            self.assertEqual(b"abcd", await self._read(body))
+            self.assertFalse(body.replayable)
+
+        trio.run(check)
+
+    def test_a_caller_that_leaves_is_an_error(self):
+        async def gone():
+            return {"type": "http.disconnect"}
+
+        async def check():
+            body = replay.ReplayBody(gone, absent=False)
+            with testtools.ExpectedException(replay.CallerGoneError):
+                await self._read(body)
+
+        trio.run(check)
+
+
+class StreamingCase(testtools.TestCase):
+    def run_with(self, standins, check, **options):
+        trio.run(functools.partial(self._run, standins, check, options))
+
+    async def _run(self, standins, check, options):
+        async with trio.open_nursery() as nursery:
+            addresses = await builders.start_standins(nursery, standins)
+            path = await builders.start_path(nursery, addresses, **options)
+            with trio.fail_after(20):
+                await check(path)
+            nursery.cancel_scope.cancel()
+
+
+async def upload():
+    for _ in range(PIECES):
+        yield PIECE
+
+
+class UploadTest(StreamingCase):
+    def post(self, path, **options):
+        return builders.call(
+            path, builders.ONCE_PATH, method="POST", **options
+        )
+
+    def test_a_large_upload_arrives_whole(self):
+        async def check(path):
+            for headers in (
+                {"transfer-encoding": "chunked"},
+                {"content-length": str(len(PIECE) * PIECES)},
+            ):
+                response = await self.post(
+                    path, headers=headers, content=upload()
+                )
+                self.assertEqual(200, response.status)
+                self.assertEqual(
+                    str(len(PIECE) * PIECES),
+                    builders.header(response, "x-received-bytes"),
+                )
+
+        self.run_with([instance.InstanceStandin("res-0", 3, 0.0)], check)
+
+    def test_a_small_upload_survives_a_shed(self):
+        async def check(path):
+            for number in range(10):
+                response = await self.post(
+                    path, tag=f"r{number}", content=b"small"
+                )
+                self.assertEqual(200, response.status)
+                self.assertEqual(
+                    "5", builders.header(response, "x-received-bytes")
+                )
+
+        full = instance.InstanceStandin("res-0", 0, 0.0)
+        free = instance.InstanceStandin("res-1", 3, 0.0)
+        self.run_with([full, free], check)
+        self.assertEqual(10, len(free.runs))
+        self.assertGreater(full.sheds, 0)
+
+    def test_an_upload_shed_in_part_is_not_run_with_its_own_reason(self):
+        async def check(path):
+            stream = await trio.open_tcp_stream(builders.IP, path.port)
+            head = f"POST {builders.ONCE_PATH} HTTP/1.1\r\nhost: a\r\n"
+            size = len(PIECE) * PIECES
+            await stream.send_all(
+                f"{head}content-length: {size}\r\n\r\n".encode()
+            )
+            for _ in range(PIECES - 1):
+                await stream.send_all(PIECE)
+            answer = await stream.receive_some(65_536)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+            self.assertIn(b"x-outcome: not-run", answer)
+            self.assertIn(b"x-outcome-reason: body_sent", answer)
+
+        full = instance.InstanceStandin("res-0", 0, 0.0)
+        self.run_with([full], check)
+        self.assertEqual([], full.runs)
+
+
+class DownloadTest(StreamingCase):
+    def test_a_large_answer_arrives_whole(self):
+        async def check(path):
+            response = await builders.call(
+                path, f"{builders.IDEMPOTENT_PATH}?size=1000000"
+            )
+            self.assertEqual(b"r1 res-0" + b"." * 1_000_000, response.content)
+
+        self.run_with([instance.InstanceStandin("res-0", 3, 0.0)], check)
+
+    def test_head_and_empty_answers_pass(self):
+        async def check(path):
+            response = await builders.call(
+                path, builders.IDEMPOTENT_PATH, method="HEAD"
+            )
+            self.assertEqual(200, response.status)
+            self.assertEqual(b"", response.content)
+
+        self.run_with([instance.InstanceStandin("res-0", 3, 0.0)], check)
+
+
+class HedgeAfter(plugs.RetryUntilDeadline):
+    """Hedges every request after a fixed delay."""
+
+    def hedge_delay(self, service, now):
+        return 0.05
+
+
+class HedgeTest(StreamingCase):
+    def test_a_stalled_attempt_is_overtaken_and_cancelled(self):
+        async def check(path):
+            for number in range(6):
+                response = await builders.call(
+                    path, builders.IDEMPOTENT_PATH, tag=f"r{number}"
+                )
+                self.assertEqual(200, response.status)
+
+        stalled = instance.InstanceStandin("res-0", 3, 1e9)
+        free = instance.InstanceStandin("res-1", 3, 0.0)
+        self.run_with(
+            [stalled, free],
+            check,
+            decisions=plugs.plain()._replace(retries=HedgeAfter()),
+        )
+        self.assertEqual(6, len(free.runs))
+
+    def test_a_request_that_runs_once_is_never_hedged(self):
+        async def check(path):
+            await builders.call(path, builders.ONCE_PATH, method="POST")
+
+        slow = [
+            instance.InstanceStandin(f"res-{number}", 3, 0.2)
+            for number in range(2)
+        ]
+        self.run_with(
+            slow,
+            check,
+            decisions=plugs.plain()._replace(retries=HedgeAfter()),
+        )
+        self.assertEqual(1, sum(len(each.runs) for each in slow))
