Publish documents from a plan and check only what changed

Operators had no way to make a document, and a change of one service was checked at the price of the whole: limits were decoded again and the addresses of all services compared.

The publish library turns a plan into keys and values, parts first and the index last; unchanged parts keep their keys and a changed part's revision is the version that changes it.

--- a/packages/configuration/src/primrosemill/configuration/checks.py
+++ b/packages/configuration/src/primrosemill/configuration/checks.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import functools
 import ipaddress
 import re
 import typing
@@ -16,6 +17,8 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 DEFAULT_DEADLINE = 10.0  # seconds
 HIGHEST_PORT = 65_535
+# An address is split by its check and again by the build that follows.
+ADDRESSES_REMEMBERED = 4_096
 
 
 class Range(typing.NamedTuple):
@@ -70,6 +73,7 @@
     ]
 
 
+@functools.lru_cache(maxsize=ADDRESSES_REMEMBERED)
 def split_address(address: str) -> tuple[str, int] | None:
     """Return the IP number and port of ``ip:port``, or None."""
     host, _, port_text = address.rpartition(":")
--- a/packages/configuration/src/primrosemill/configuration/faults.py
+++ b/packages/configuration/src/primrosemill/configuration/faults.py
@@ -121,6 +121,27 @@
     digest_offered: str
 
 
+class DuplicateCaller(typing.NamedTuple):
+    """A caller has a limit in two shards; the key is the later one."""
+
+    key: str
+    caller: str
+    other_key: str
+
+
+class MalformedLine(typing.NamedTuple):
+    """A line of a document file has no tab after its key."""
+
+    line: int
+
+
+class DuplicateLine(typing.NamedTuple):
+    """A key stands on two lines of a document file; this is the later."""
+
+    key: str
+    line: int
+
+
 Fault = (
     Malformed
     | ValueTooLarge
@@ -137,6 +158,9 @@
     | WrongFleet
     | OlderVersion
     | ConflictingVersion
+    | DuplicateCaller
+    | MalformedLine
+    | DuplicateLine
 )
 
 
--- a/tests/builders/configuration.py
+++ b/tests/builders/configuration.py
@@ -42,7 +42,10 @@
 
 
 def published(
-    *services: values.ServiceValue, version: int = 1, **changes
+    *services: values.ServiceValue,
+    shards: tuple[values.LimitsValue, ...] = (),
+    version: int = 1,
+    **changes,
 ) -> dict[str, bytes]:
     """Build the keys and values of a version, index included."""
     values_by_key = {}
@@ -55,13 +58,22 @@
             "revision": service["revision"],
             "digest": values.digest(encoded),
         }
+    references_by_shard = {}
+    for shard in shards:
+        encoded = msgspec.json.encode(shard)
+        key = values.limits_key(shard["shard"], shard["revision"])
+        values_by_key[key] = encoded
+        references_by_shard[shard["shard"]] = {
+            "revision": shard["revision"],
+            "digest": values.digest(encoded),
+        }
     index = {
         "fleet": FLEET,
         "version": version,
         "domains": DOMAINS,
         "default_limit": {"rate": 100.0, "burst": 100},
         "services_by_name": references_by_name,
-        "limits_by_shard": {},
+        "limits_by_shard": references_by_shard,
     }
     values_by_key[values.INDEX_KEY] = msgspec.json.encode(index | changes)
     return values_by_key
--- /dev/null
+++ b/tests/builders/plans.py
@@ -0,0 +1,33 @@
+"""Builds operators' plans for tests."""
+
+from primrosemill.configuration import values
+from primrosemill.publish import builders
+from primrosemill.publish import publication
+
+DOMAINS = ("ain-sebaa", "hay-riad", "sidi-maarouf")
+
+
+def service(
+    name: str = "reservations", network: int = 1, **changes
+) -> values.ServiceValue:
+    """Build a service of six instances with one route of its own."""
+    built = builders.service(
+        name,
+        builders.instances(name, f"127.1.{network}.1", 6, 9000, DOMAINS),
+        [builders.route(f"/{name}", idempotent=True)],
+        floor=4,
+        demand=60.0,
+    )
+    return built | changes
+
+
+def plan(*services: values.ServiceValue, **changes) -> publication.Plan:
+    """Build a plan; without services it has one."""
+    built = publication.Plan(
+        "atlas",
+        DOMAINS,
+        services or (service(),),
+        builders.limit(20.0, 40),
+        {},
+    )
+    return built._replace(**changes)
--- /dev/null
+++ b/tests/publish/test_publication.py
@@ -0,0 +1,127 @@
+import testtools
+
+from primrosemill.configuration import faults as document_faults
+from primrosemill.configuration import values
+from primrosemill.publish import builders
+from primrosemill.publish import faults
+from primrosemill.publish import publication
+from primrosemill.publish import shards
+from tests.builders import plans
+
+
+def prepare(*services, published=None, **changes):
+    return publication.prepare(plans.plan(*services, **changes), published)
+
+
+class PublicationTest(testtools.TestCase):
+    def test_the_first_version_has_every_part_and_the_index_last(self):
+        first = prepare(plans.service(), plans.service("compliance", 2)).ok
+        self.assertEqual(1, first.version)
+        self.assertEqual(
+            ["service/reservations/1", "service/compliance/1", "index"],
+            list(first.changed_by_key),
+        )
+
+    def test_only_what_changed_is_published_again(self):
+        other = plans.service("compliance", 2)
+        first = prepare(plans.service(), other).ok
+        second = prepare(
+            plans.service(floor=3), other, published=first.assembled
+        ).ok
+        self.assertEqual(
+            ["service/reservations/2", "index"], list(second.changed_by_key)
+        )
+        self.assertIn("service/compliance/1", second.values_by_key)
+        self.assertNotIn("service/reservations/1", second.values_by_key)
+
+    def test_the_same_plan_is_no_new_version(self):
+        first = prepare().ok
+        again = prepare(published=first.assembled).ok
+        self.assertEqual(1, again.version)
+        self.assertEqual({}, again.changed_by_key)
+
+    def test_a_service_that_comes_back_has_a_key_of_its_own(self):
+        other = plans.service("compliance", 2)
+        first = prepare(plans.service(), other).ok
+        second = prepare(other, published=first.assembled).ok
+        third = prepare(
+            plans.service(floor=2), other, published=second.assembled
+        ).ok
+        self.assertIn("service/reservations/3", third.changed_by_key)
+
+    def test_what_was_published_can_be_read_back(self):
+        first = prepare().ok
+        read = publication.read_published(first.values_by_key).ok
+        self.assertEqual(first.assembled, read)
+        result = publication.read_published({})
+        self.assertIsInstance(result.error[0], document_faults.MissingPart)
+
+    def test_impossible_plans_are_refused(self):
+        shared = plans.service("compliance", 1)
+        big = plans.service(
+            routes=[
+                builders.route(f"/{'x' * 100}{number}", idempotent=True)
+                for number in range(6_000)
+            ]
+        )
+        cases = [
+            (faults.DuplicateService, (plans.service(),) * 2, {}),
+            (document_faults.Duplicate, (plans.service(), shared), {}),
+            (
+                document_faults.FloorOverInstances,
+                (plans.service(floor=7),),
+                {},
+            ),
+            (document_faults.UnknownDomain, (), {"domains": ("hay-riad",)}),
+            (document_faults.ValueTooLarge, (big,), {}),
+            (document_faults.OutOfRange, (plans.service(slots=0),), {}),
+            (
+                document_faults.OutOfRange,
+                (),
+                {"limits_by_caller": {"a": builders.limit(-1.0, 1)}},
+            ),
+            (document_faults.BadName, (), {"fleet": "a b"}),
+        ]
+        for fault_type, services, changes in cases:
+            found = prepare(*services, **changes).error
+            self.assertIn(fault_type, list(map(type, found)))
+
+    def test_another_fleets_version_is_refused(self):
+        first = prepare().ok
+        result = prepare(published=first.assembled, fleet="guild")
+        self.assertEqual((faults.OtherFleet("guild", "atlas"),), result.error)
+
+
+class LimitsTest(testtools.TestCase):
+    def limits(self, count):
+        return {
+            f"caller-{number:08d}": builders.limit(10.0, 20)
+            for number in range(count)
+        }
+
+    def test_one_caller_changes_one_value(self):
+        limits = self.limits(3_000)
+        first = prepare(limits_by_caller=limits).ok
+        limits["caller-00000007"] = builders.limit(1.0, 1)
+        second = prepare(limits_by_caller=limits, published=first.assembled).ok
+        self.assertEqual(2, len(second.changed_by_key))
+        document = second.assembled.document
+        self.assertEqual(3_000, len(document.limits_by_caller))
+        self.assertEqual(
+            1.0, document.limits_by_caller["caller-00000007"].rate
+        )
+
+    def test_shards_double_before_a_value_outgrows_the_store(self):
+        limits = {
+            f"{'x' * 1_000}{number}": builders.limit(10.0, 20)
+            for number in range(20_000)
+        }
+        split = shards.split(limits, shards.FEWEST_SHARDS)
+        self.assertGreater(len(split), shards.FEWEST_SHARDS)
+        publishable = prepare(limits_by_caller=limits).ok
+        largest = max(map(len, publishable.values_by_key.values()))
+        self.assertLess(largest, values.VALUE_SIZE_LIMIT)
+
+    def test_shards_never_become_fewer(self):
+        split = shards.split(self.limits(10), 256)
+        self.assertEqual({256}, set(map(shards.count_of, split)))
