Bound and type every answer of the platform; check files by command

A store that trickled bytes held its reader for ever, since the limit was one for each read; one that sent without end would have filled the VM; a VM list with an error status was taken for an empty list, and deeply nested JSON raised out of the check.

'primrosemill check' tells each fault of settings and documents by file, line and key.

--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/check.py
@@ -0,0 +1,140 @@
+"""Checks settings files and configuration documents."""
+
+import functools
+import pathlib
+import typing
+
+import click
+import expression
+
+from primrosemill.cli import exits
+from primrosemill.configuration import assembly
+from primrosemill.configuration import document as documents
+from primrosemill.configuration import faults
+from primrosemill.configuration import files
+from primrosemill.configuration import values
+from primrosemill.proxy import settings as proxy_settings
+from primrosemill.proxy import settings_faults
+
+SECTION_START = b"["
+COMMENT_STARTS = (b"#", b";")
+
+
+class Report(typing.NamedTuple):
+    """What a check of one file found; no lines of faults mean none."""
+
+    summary: str
+    fault_lines: tuple[str, ...]
+
+
+@click.command("check", epilog=exits.HELP)
+@click.argument(
+    "paths",
+    metavar="FILE...",
+    nargs=-1,
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+)
+def command(paths: tuple[pathlib.Path, ...]) -> None:
+    """Check settings files and configuration documents.
+
+    A file that begins with a section is one of settings; a document has a
+    key, a tab and a JSON value on each line. Every fault is printed with
+    its file and line.
+    """
+    fault_lines: list[str] = []
+    for path in paths:
+        report = check_file(path)
+        fault_lines += report.fault_lines
+        if not report.fault_lines:
+            click.echo(f"{path}: {report.summary}")
+    if fault_lines:
+        exits.stop(exits.Status.BAD_INPUT, fault_lines)
+
+
+def check_file(path: pathlib.Path) -> Report:
+    """Check one file of either kind."""
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        fault = settings_faults.UnreadableFile(str(path), str(error))
+        return Report("", (settings_faults.describe(fault),))
+    if is_settings(content):
+        return _check_settings(path)
+    return _check_document(path, content)
+
+
+def is_settings(content: bytes) -> bool:
+    """Tell settings from a document by the first line that says something."""
+    for line in content.splitlines():
+        text = line.strip()
+        if not text or text.startswith(COMMENT_STARTS):
+            continue
+        return text.startswith(SECTION_START) or files.SEPARATOR not in line
+    return True
+
+
+def _check_settings(path: pathlib.Path) -> Report:
+    result = proxy_settings.read(path)
+    if result.is_error():
+        lines = tuple(map(settings_faults.describe, result.error))
+        return Report("", lines)
+    return Report(f"settings of VM {result.ok.vm_id} are fine", ())
+
+
+def _check_document(path: pathlib.Path, content: bytes) -> Report:
+    decoded = files.decode(content)
+    if decoded.is_error():
+        return _refuse(path, decoded.error, {})
+    result = _assemble(decoded.ok.values_by_key)
+    if result.is_error():
+        return _refuse(path, result.error, decoded.ok.lines_by_key)
+    return Report(_summarize(result.ok.document), ())
+
+
+def _assemble(values_by_key: dict[str, bytes]) -> assembly.Outcome:
+    index_value = values_by_key.get(values.INDEX_KEY)
+    if index_value is None:
+        return expression.Error((faults.MissingPart(values.INDEX_KEY),))
+    return assembly.assemble(index_value, values_by_key)
+
+
+def _summarize(document: documents.Document) -> str:
+    instances = sum(
+        len(service.instances)
+        for service in document.services_by_name.values()
+    )
+    return (
+        f"version {document.version} of {document.fleet} is fine: "
+        f"{len(document.services_by_name)} services, "
+        f"{instances} instances, "
+        f"{len(document.limits_by_caller)} callers with limits"
+    )
+
+
+def _refuse(
+    path: pathlib.Path,
+    found: tuple[faults.Fault, ...],
+    lines_by_key: dict[str, int],
+) -> Report:
+    lines = tuple(
+        f"{path}:{line_of(fault, lines_by_key)}: {faults.describe(fault)}"
+        for fault in found
+    )
+    return Report("", lines)
+
+
+@functools.singledispatch
+def line_of(fault: faults.Fault, lines_by_key: dict[str, int]) -> int:
+    """Return the line of the value that a fault is about."""
+    index_line = lines_by_key.get(values.INDEX_KEY, 1)
+    return lines_by_key.get(fault.key, index_line)
+
+
+@line_of.register(faults.MalformedLine)
+@line_of.register(faults.DuplicateLine)
+def _line_of_line(
+    fault: faults.MalformedLine | faults.DuplicateLine,
+    lines_by_key: dict[str, int],
+) -> int:
+    return fault.line
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -2,11 +2,12 @@
 
 import click
 
+from primrosemill.cli import check
 from primrosemill.cli import exits
 from primrosemill.cli import proxy
 from primrosemill.cli import version
 
-COMMANDS = (proxy.command, version.command)
+COMMANDS = (proxy.command, check.command, version.command)
 
 
 @click.group(epilog=exits.HELP)
--- a/packages/configuration/src/primrosemill/configuration/assembly.py
+++ b/packages/configuration/src/primrosemill/configuration/assembly.py
@@ -42,7 +42,11 @@
         )
     try:
         return expression.Ok(msgspec.json.decode(value, type=form))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         return expression.Error(faults.Malformed(key, str(error)))
 
 
--- a/packages/platform/src/primrosemill/platform/interfaces.py
+++ b/packages/platform/src/primrosemill/platform/interfaces.py
@@ -9,12 +9,26 @@
 
 
 class Unreachable(typing.NamedTuple):
-    """The platform gave no answer in time."""
+    """The platform took no connection, or closed it without an answer."""
 
     target: str
     detail: str
 
 
+class TimedOut(typing.NamedTuple):
+    """The platform's whole answer did not come within the limit."""
+
+    target: str
+    seconds: float
+
+
+class TooLarge(typing.NamedTuple):
+    """The platform's answer is larger than a value can be."""
+
+    target: str
+    limit: int
+
+
 class Refused(typing.NamedTuple):
     """The platform answered with an error status."""
 
@@ -35,7 +49,9 @@
     key: str
 
 
-PlatformFault = Unreachable | Refused | BadAnswer | AbsentKey
+PlatformFault = (
+    Unreachable | TimedOut | TooLarge | Refused | BadAnswer | AbsentKey
+)
 
 
 class ListedVm(typing.NamedTuple):
@@ -48,7 +64,12 @@
 
 
 class Store(typing.Protocol):
-    """The configuration service: it can be read and watched only."""
+    """The configuration service: it can be read and watched only.
+
+    Each call of a method is one call of the platform's budget, however long
+    a watch waits. A store may serve a stale view, so a value other than the
+    known one may well be an older one.
+    """
 
     async def read(self, key: str) -> expression.Result[bytes, PlatformFault]:
         """Return the value of a key."""
--- /dev/null
+++ b/packages/standins/src/primrosemill/standins/raw.py
@@ -0,0 +1,53 @@
+"""Serves fixed bytes over TCP, for answers that no HTTP library sends."""
+
+import trio
+
+from primrosemill.standins import asgi
+
+REQUEST_SIZE = 65_536  # bytes
+
+
+class RawStandin:
+    """Reads a request, sends fixed bytes and closes the connection.
+
+    ``pause`` is the time in seconds between two bytes. A lingering stand-in
+    closes only when the next request arrives, which it does not answer.
+    """
+
+    def __init__(
+        self, answer: bytes, pause: float = 0.0, *, lingers: bool = False
+    ) -> None:
+        self.answer = answer
+        self.pause = pause
+        self.lingers = lingers
+        self.connections = 0
+
+    async def _serve_one(self, stream: trio.SocketStream) -> None:
+        self.connections += 1
+        try:
+            await stream.receive_some(REQUEST_SIZE)
+            if self.pause:
+                await self._trickle(stream)
+            else:
+                await stream.send_all(self.answer)
+            if self.lingers:
+                await stream.receive_some(REQUEST_SIZE)
+        except trio.BrokenResourceError:
+            return
+
+    async def _trickle(self, stream: trio.SocketStream) -> None:
+        for byte in self.answer:
+            await stream.send_all(bytes((byte,)))
+            await trio.sleep(self.pause)
+
+    async def serve(
+        self,
+        ip: str,
+        *,
+        task_status: trio.TaskStatus[asgi.Served] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; reports the address once it listens."""
+        listeners = await trio.open_tcp_listeners(0, host=ip)
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(asgi.Served(ip, port))
+        await trio.serve_listeners(self._serve_one, listeners)
--- /dev/null
+++ b/tests/cli/test_check.py
@@ -0,0 +1,74 @@
+import pathlib
+import tempfile
+
+from click import testing
+import testtools
+
+from primrosemill.cli import main
+from primrosemill.configuration import files
+from tests.builders import configuration as builders
+from tests.builders import settings as settings_builders
+
+
+class CheckTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "checked"
+
+    def check(self, content):
+        self.path.write_bytes(content)
+        return testing.CliRunner().invoke(main.main, ["check", str(self.path)])
+
+    def test_good_files_of_both_kinds_are_fine(self):
+        result = self.check(settings_builders.text().encode())
+        self.assertEqual((0, ""), (result.exit_code, result.stderr))
+        self.assertIn("settings of VM vm-0", result.stdout)
+        result = self.check(files.encode(builders.published()))
+        self.assertEqual((0, ""), (result.exit_code, result.stderr))
+        self.assertIn("1 services, 20 instances", result.stdout)
+
+    def test_settings_faults_name_file_and_line(self):
+        result = self.check(b"# one VM\n[vm]\nid = a b\n")
+        self.assertEqual(2, result.exit_code)
+        self.assertIn(f"{self.path}:3: WrongType: section", result.stderr)
+
+    def test_document_faults_name_file_line_and_key(self):
+        published = builders.published(
+            builders.service_value(floor=21),
+            builders.service_value(name="compliance", slots=0, routes=[]),
+        )
+        result = self.check(files.encode(published))
+        self.assertEqual(2, result.exit_code)
+        for expected in (
+            f"{self.path}:1: FloorOverInstances: key='service/reservations/1'",
+            f"{self.path}:2: OutOfRange: key='service/compliance/1'",
+        ):
+            self.assertIn(expected, result.stderr)
+
+    def test_a_missing_part_is_told_at_the_index(self):
+        published = builders.published()
+        del published["service/reservations/1"]
+        result = self.check(files.encode(published))
+        self.assertIn(f"{self.path}:1: MissingPart", result.stderr)
+
+    def test_broken_files_end_with_2_and_without_a_traceback(self):
+        for content in (
+            b"",
+            b"\xff\xfe",
+            b"index\t{}\n",
+            b"index\t[]\nno tab\n",
+            b"a\tb\n",
+            b"[vm\n",
+            b"index\t" + b"[" * 5_000,
+        ):
+            result = self.check(content)
+            self.assertEqual(2, result.exit_code, content)
+            self.assertIsInstance(result.exception, SystemExit)
+            self.assertNotEqual("", result.stderr)
+
+    def test_an_absent_file_and_no_file_end_with_2(self):
+        for arguments in (["check", "/no/such"], ["check"], ["unknown"]):
+            result = testing.CliRunner().invoke(main.main, arguments)
+            self.assertEqual(2, result.exit_code)
--- a/tests/configuration/test_assembly.py
+++ b/tests/configuration/test_assembly.py
@@ -77,3 +77,16 @@
     def test_too_large_a_value_is_refused(self):
         result = assembly.decode_index(b" " * (values.VALUE_SIZE_LIMIT + 1))
         self.assertIsInstance(result.error, faults.ValueTooLarge)
+
+    def test_garbage_is_a_typed_fault(self):
+        cases = [
+            b"",
+            b"\xff\xfe",
+            b"null",
+            b'{"x":"\xff"}',
+            b'{"fleet":"\\ud800"}',
+            b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        ]
+        for value in cases:
+            result = assembly.decode_index(value)
+            self.assertIsInstance(result.error, faults.Malformed)
--- /dev/null
+++ b/tests/platform/test_page.py
@@ -0,0 +1,24 @@
+import pathlib
+import re
+import typing
+
+import testtools
+
+from primrosemill.platform import interfaces
+from primrosemill.platform import over_http
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "platform.md"
+
+
+class PageTest(testtools.TestCase):
+    def test_each_fault_and_limit_is_that_of_the_code(self):
+        text = PAGE.read_text()
+        rows = re.findall(r"^\| `(\w+)` \|", text, re.M)
+        faults = typing.get_args(interfaces.PlatformFault)
+        self.assertEqual([each.__name__ for each in faults], rows)
+        self.assertIn(f"| {over_http.ANSWER_SIZE_LIMIT:,} bytes |", text)
+        self.assertIn(
+            f"| {over_http.READ_TIMEOUT:g} s; a watch: its wait and "
+            f"{over_http.WATCH_MARGIN:g} s |",
+            text,
+        )
