--- /dev/null
+++ b/tests/builders/decisions_routing.py
@@ -0,0 +1,52 @@
+"""Build services and VMs for the tests of routing decisions."""
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import homes
+
+DOMAINS = ("ain-sebaa", "hay-riad", "sidi-maarouf")
+
+
+def instance(number: int, **changes) -> documents.Instance:
+    """Build one instance; they spread over the failure domains."""
+    built = documents.Instance(
+        f"res-{number}",
+        f"127.0.1.{number % 250 + 1}",
+        9000 + number // 250,
+        DOMAINS[number % len(DOMAINS)],
+    )
+    return built._replace(**changes)
+
+
+def service(count: int = 20, **changes) -> documents.Service:
+    """Build Atlas's reservations service."""
+    built = documents.Service(
+        name="reservations",
+        revision=1,
+        instances=tuple(instance(number) for number in range(count)),
+        routes=(),
+        slots=3,
+        connections=300,
+        floor=14,
+        detection_weight=0.8,
+        demand=600.0,
+        cold_start=10.0,
+        probe_path="/health",
+        probe_interval=10.0,
+    )
+    return built._replace(**changes)
+
+
+def vms(count: int = 36, domains: tuple[str, ...] = DOMAINS):
+    """Build VMs that spread over the failure domains."""
+    return tuple(
+        homes.Vm(f"vm-{number}", domains[number % len(domains)])
+        for number in range(count)
+    )
+
+
+def services(count: int) -> dict[str, documents.Service]:
+    """Build services of different names by their name."""
+    return {
+        f"service-{number}": service(3, name=f"service-{number}")
+        for number in range(count)
+    }
