Cross the sockets with fewer passes of the scheduler

A profile of 142 requests/s showed seven passes of the scheduler and three sends a request: each socket call of trio runs a pass even when it need not wait, and hypercorn's connection takes a lock, a cancel scope and a task for the idle time around each send, of which head, body and end make three.

The proxy now reads and writes its own non-blocking sockets, which wait only when they must, and drives hypercorn's HTTP/1.1 protocol from its own connection, which sends the head with the first piece of the body.

--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -32,8 +32,12 @@
 
     on_gone: typing.Callable[[], None] | None
 
-    def abort(self) -> None:
-        """Reset the connection, so that nobody takes the answer as whole."""
+    def reset(self) -> None:
+        """Close so that nobody takes the answer as whole."""
+        ...
+
+    def hold_head(self) -> None:
+        """Send the next bytes together with those after them."""
         ...
 
 
@@ -66,7 +70,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._connection.abort()
+        self._connection.reset()
 
     async def relay(
         self, answer: attempts.Answer, attempt: attempts.Attempt
@@ -74,6 +78,7 @@
         """Pass an answer on; returns what cut it off, or None if whole."""
         self.started = True
         self._note_progress()
+        self._connection.hold_head()
         await self._send(
             asgi.start_message(answer.status, self._headers(answer))
         )
--- a/packages/proxy/src/primrosemill/proxy/wire.py
+++ b/packages/proxy/src/primrosemill/proxy/wire.py
@@ -6,14 +6,13 @@
 """
 
 import errno
-import select
-import socket
 import typing
 
 import httpcore
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.proxy import sockets
 
 NOT_ARMED = float("inf")
 
@@ -25,8 +24,8 @@
 class InstanceStream(httpcore.AsyncNetworkStream):
     """A TCP connection to an instance, used for one attempt at a time."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
+    def __init__(self, sock: sockets.Socket) -> None:
+        self._socket = sock
         self._deadline = NOT_ARMED
         self._held = b""
         self._holding = False
@@ -61,12 +60,10 @@
         view = memoryview(data)
         try:
             while view:
-                sent = await self._stream.socket.send(view)
+                sent = await self._socket.send_some(view)
                 self.wrote = True
                 view = view[sent:]
-        except trio.Cancelled:
-            raise
-        except (OSError, trio.ClosedResourceError) as error:
+        except OSError as error:
             raise httpcore.WriteError(str(error)) from error
 
     async def read(
@@ -74,13 +71,13 @@
     ) -> bytes:
         """Receive bytes; empty once the instance closed its side."""
         try:
-            return await self._stream.socket.recv(max_bytes)
-        except (OSError, trio.ClosedResourceError) as error:
+            return await self._socket.receive(max_bytes)
+        except OSError as error:
             raise httpcore.ReadError(str(error)) from error
 
     def close(self) -> None:
         """Close at once; what the instance still sends is lost."""
-        self._stream.socket.close()
+        self._socket.close()
 
     async def aclose(self) -> None:
         """Close as httpcore asks for it, without waiting."""
@@ -94,23 +91,12 @@
 
     def is_readable(self) -> bool:
         """Tell whether bytes or the instance's close wait to be read."""
-        if self._stream.socket.fileno() < 0:
-            return True
-        poller = select.poll()
-        poller.register(self._stream.socket.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return self._socket.is_readable()
 
 
 async def connect(instance: documents.Instance) -> InstanceStream:
     """Open a connection; raises OSError, also for a refusal."""
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await sock.connect((instance.ip, instance.port))
-    except BaseException:
-        sock.close()
-        raise
-    return InstanceStream(trio.SocketStream(sock))
+    return InstanceStream(await sockets.connect(instance.ip, instance.port))
 
 
 def is_refusal(error: OSError) -> bool:
