--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -12,6 +12,7 @@
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
 from primrosemill.proxy import application
+from primrosemill.proxy import collector
 from primrosemill.proxy import server
 from primrosemill.proxy import settings as proxy_settings
 
@@ -105,3 +106,4 @@
             return
         self._assembled = result.ok
         self._application.set_document(result.ok.document)
+        collector.spare_new()
