Stop gracefully, and tell operators what a VM does

SIGTERM: the VM says that it leaves, serves who holds an old answer for the answer's lifetime, closes idle connections, finishes what is in flight and ends; a second signal ends it at once. The admin port answers health, readiness, metrics and status.

A fault in one request used to end the whole server; now it resets that caller's connection, and is counted and logged. A connection closed within a request is reset.

--- a/packages/cli/src/primrosemill/cli/proxy.py
+++ b/packages/cli/src/primrosemill/cli/proxy.py
@@ -43,5 +43,5 @@
 async def _run(settings: proxy_settings.Settings) -> None:
     vm = daemon.Daemon(settings, random.Random())
     async with trio.open_nursery() as nursery:
-        ports = await nursery.start(vm.run)
+        ports = await nursery.start(vm.run_until_signalled)
         click.echo(f"callers: {settings.ip}:{ports.caller_port}")
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -19,6 +19,7 @@
 from primrosemill.proxy import headers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import replay
+from primrosemill.proxy import reports
 
 Lookup = routes.Match | plugs.Refused
 
@@ -31,6 +32,7 @@
         generator: random.Random,
         decisions: plugs.Plugs | None = None,
         counts: counters.Counters | None = None,
+        queue_limit: int = dispatch.QUEUE_LIMIT,
     ) -> None:
         self._generator = generator
         self._plugs = decisions or plugs.plain()
@@ -38,7 +40,10 @@
         self._table: routes.RouteTable | None = None
         self._connections = connections.Connections()
         self._dispatchers_by_service: dict[str, dispatch.Dispatcher] = {}
+        self._queue_limit = queue_limit
+        self._reports = reports.Reports(self._counters)
         self.leaving = False
+        self.closing = False
         self.in_flight = 0
 
     def set_document(self, document: documents.Document) -> None:
@@ -50,7 +55,9 @@
                 dispatcher.set_service(service)
                 continue
             table = slots.SlotTable(service, self._generator)
-            self._dispatchers_by_service[name] = dispatch.Dispatcher(table)
+            self._dispatchers_by_service[name] = dispatch.Dispatcher(
+                table, self._queue_limit
+            )
 
     def keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
@@ -58,6 +65,10 @@
             dispatcher.wake()
         self._connections.close_expired()
 
+    def note_failure(self, error: Exception) -> None:
+        """Count and log a fault of the proxy that ended a request."""
+        self._reports.note_failure(error)
+
     def close(self) -> None:
         """Close all idle connections to instances."""
         self._connections.close_all()
@@ -68,19 +79,23 @@
         """Answer one request."""
         body = replay.ReplayBody(receive, absent=_has_no_body(scope))
         connection = scope["state"][callers.CONNECTION_KEY]
-        caller = callers.Caller(send, body, connection, self._is_leaving)
+        caller = callers.Caller(send, body, connection, self._is_closing)
         self.in_flight += 1
         started = trio.current_time()
         try:
             ending = await self._resolve(scope, body, caller)
             await _conclude(ending, caller)
-            self._counters.count_ending(ending, trio.current_time() - started)
+            self._reports.note_ending(ending, started, trio.current_time())
         finally:
             self.in_flight -= 1
             caller.detach()
 
-    def _is_leaving(self) -> bool:
-        return self.leaving
+    def waiting(self, service: str) -> int:
+        """Return how many requests wait for a slot of a service."""
+        return self._dispatchers_by_service[service].waiting
+
+    def _is_closing(self) -> bool:
+        return self.closing
 
     async def _resolve(
         self,
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -24,6 +24,7 @@
 RECEIVE_SIZE = 65_536  # bytes
 UPLOAD_MESSAGES = 2  # of an upload that wait for the application
 NOT_SSL = False
+OnFailure = typing.Callable[[Exception], None]
 NO_ADDRESS = None
 
 
@@ -37,10 +38,12 @@
         context: hypercorn.trio.worker_context.WorkerContext,
         sock: sockets.Socket,
         nursery: trio.Nursery,
+        on_failure: OnFailure,
     ) -> None:
         self._handler = handler
         self._socket = sock
         self._nursery = nursery
+        self._on_failure = on_failure
         self._held = b""
         self._holding = False
         self.idle_since: float | None = trio.current_time()
@@ -68,9 +71,14 @@
         except OSError:
             # The caller reset the connection, or it was closed here.
             pass
+        except Exception as error:
+            self._fail(error)
         finally:
             self._tell_gone()
             await self._protocol.handle(hypercorn.events.Closed())
+            if self.idle_since is None:
+                # A request is in progress: its answer is not whole.
+                self._socket.reset()
             self._socket.end_sending()
             self._socket.close()
 
@@ -91,10 +99,17 @@
     ) -> None:
         try:
             await self._handler(scope, messages.get, send)
-        finally:
             messages.stop()
             # The protocol closes a request that the application left open.
             await send(None)
+        except Exception as error:
+            messages.stop()
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """Reset after a fault of our own, which must not reach others."""
+        self._on_failure(error)
+        self._socket.reset()
 
     def hold_head(self) -> None:
         """Keep the next bytes back until more follow them."""
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -49,12 +49,12 @@
         send: asgi.Send,
         body: replay.ReplayBody,
         connection: CallerConnection,
-        leaving: typing.Callable[[], bool],
+        closing: typing.Callable[[], bool],
     ) -> None:
         self._send = send
         self._body = body
         self._connection = connection
-        self._leaving = leaving
+        self._closing = closing
         self._scope: trio.CancelScope | None = None
         self.started = False
         self.gone = False
@@ -126,7 +126,7 @@
         )
 
     async def _conclude(self, status: int, lines: asgi.Headers) -> None:
-        if self._leaving():
+        if self._closing():
             lines.append(headers.CLOSE)
         lines.append(headers.EMPTY)
         self.started = True
@@ -153,7 +153,7 @@
     def _headers(self, answer: attempts.Answer) -> asgi.Headers:
         lines = headers.forward(answer.headers, headers.ANSWER_NAMES_DROPPED)
         lines.append(headers.OUTCOME_ANSWERED)
-        if self._leaving():
+        if self._closing():
             lines.append(headers.CLOSE)
         return lines
 
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -64,6 +64,11 @@
             outcomes.UnknownReason,
             self.registry,
         )
+        self.failures = metrics.counter(
+            "request_failures",
+            "Requests ended by a fault of the proxy itself.",
+            self.registry,
+        )
         self.latency = metrics.latency_histogram(
             "request_seconds",
             "Seconds from a request's head to its last byte.",
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -3,28 +3,51 @@
 import random
 import typing
 
+import prometheus_client
 import trio
 
-from primrosemill.configuration import assembly
 from primrosemill.configuration import document as documents
-from primrosemill.configuration import values
-from primrosemill.configuration import versions
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
+from primrosemill.proxy import admin
 from primrosemill.proxy import application
 from primrosemill.proxy import collector
+from primrosemill.proxy import counters
+from primrosemill.proxy import follower
+from primrosemill.proxy import plugs
 from primrosemill.proxy import server
 from primrosemill.proxy import settings as proxy_settings
+from primrosemill.proxy import status
+from primrosemill.proxy import stopping
+from primrosemill.telemetry import events
 
-WATCH_WAIT = 30.0  # seconds
-STORE_RETRY_PAUSE = 1.0  # seconds
 HOUSEKEEPING_INTERVAL = 0.05  # seconds
+# Callers use an answered address for so long; a leaving VM serves them.
+ANSWER_LIFETIME = 30.0  # seconds
+TIME_OVER = "time over"
 
 
 class Ports(typing.NamedTuple):
     """The ports that a VM listens on."""
 
     caller_port: int
+    admin_port: int
+
+
+class Parts(typing.NamedTuple):
+    """What other libraries bring to a VM; each has a plain default."""
+
+    decisions: plugs.Plugs
+    sources: status.Sources
+    on_document: typing.Callable[[documents.Document], None]
+    on_leaving: typing.Callable[[], None]
+
+
+def plain_parts() -> Parts:
+    """Return parts that decide nothing."""
+    return Parts(
+        plugs.plain(), status.NoSources(), lambda document: None, lambda: None
+    )
 
 
 class Daemon:
@@ -35,75 +58,151 @@
         settings: proxy_settings.Settings,
         generator: random.Random,
         store: interfaces.Store | None = None,
+        parts: Parts | None = None,
+        answer_lifetime: float = ANSWER_LIFETIME,
     ) -> None:
         self._settings = settings
-        self._store = store or over_http.HttpStore(settings.platform_address)
-        self._application = application.Application(generator)
-        self._server = server.Server(self._application)
-        self._assembled: assembly.Assembled | None = None
+        self._parts = parts or plain_parts()
+        self._answer_lifetime = answer_lifetime
+        counts = counters.Counters(prometheus_client.CollectorRegistry())
+        self._application = application.Application(
+            generator,
+            self._parts.decisions,
+            counts,
+            settings.waiting_requests,
+        )
+        self._callers = server.Server(
+            self._application, self._application.note_failure
+        )
+        self._admin = server.Server(
+            admin.Admin(self.read_status, counts.registry)
+        )
+        self._follower = follower.Follower(
+            settings.fleet,
+            store or over_http.HttpStore(settings.platform_address),
+            self._set_document,
+        )
+        self._scope = trio.CancelScope()
 
     async def run(
         self,
         *,
         task_status: trio.TaskStatus[Ports] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Serve until cancelled; reports its ports once it listens."""
+        """Serve until stopped.
+
+        Callers are served, and the ports reported, once a configuration is
+        in force; the admin port answers from the start.
+        """
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                ip = self._settings.ip
+                admin_port = await nursery.start(
+                    self._admin.run, ip, self._settings.admin_port
+                )
+                nursery.start_soon(self._follower.run)
+                await self._follower.first.wait()
+                caller_port = await nursery.start(
+                    self._callers.run, ip, self._settings.caller_port
+                )
+                nursery.start_soon(self._keep_house)
+                collector.settle()
+                self._announce(Ports(caller_port, admin_port), task_status)
+        self._application.close()
+
+    async def run_until_signalled(
+        self,
+        *,
+        task_status: trio.TaskStatus[Ports] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until a signal asks to stop and the stop is done."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._follow_store)
-            port = await nursery.start(
-                self._server.run,
-                self._settings.ip,
-                self._settings.caller_port,
+            await nursery.start(stopping.stop_on_signals, self)
+            await self.run(task_status=task_status)
+            nursery.cancel_scope.cancel()
+
+    async def stop(self, cause: str) -> None:
+        """Leave: serve who holds an old answer, finish, then end run().
+
+        What is still in flight after the time that the settings allow is
+        cut off.
+        """
+        self._application.leaving = True
+        self._parts.on_leaving()
+        events.emit(
+            events.VM_LEAVING,
+            vm_id=self._settings.vm_id,
+            signal=cause,
+            serve_seconds=self._answer_lifetime,
+        )
+        await trio.sleep(self._answer_lifetime)
+        self._application.closing = True
+        with trio.move_on_after(self._settings.stop_seconds) as scope:
+            await self._callers.drain()
+        if scope.cancelled_caught:
+            self.stop_at_once(TIME_OVER)
+            return
+        events.emit(events.VM_STOPPED, vm_id=self._settings.vm_id)
+        self._scope.cancel()
+
+    def stop_at_once(self, cause: str) -> None:
+        """End run() now, whatever is in flight."""
+        events.emit(
+            events.VM_STOP_CUT_SHORT,
+            vm_id=self._settings.vm_id,
+            requests_in_flight=self._application.in_flight,
+            cause=cause,
+        )
+        self._scope.cancel()
+
+    def read_status(self) -> status.Status:
+        """Return what the admin port tells."""
+        document = self._follower.document
+        services = [
+            status.describe_service(
+                service,
+                self._application.waiting(service.name),
+                self._parts.sources,
             )
-            task_status.started(Ports(port))
-            nursery.start_soon(self._keep_house)
+            for service in document.services_by_name.values()
+        ]
+        return status.Status(
+            vm_id=self._settings.vm_id,
+            fleet=self._settings.fleet,
+            domain=self._settings.domain,
+            state=self._state().value,
+            requests_in_flight=self._application.in_flight,
+            configuration=status.ConfigurationStatus(
+                version=document.version, digest=document.digest
+            ),
+            members=self._parts.sources.members(),
+            services=services,
+        )
 
-    async def _keep_house(self) -> None:
-        while True:
-            await trio.sleep(HOUSEKEEPING_INTERVAL)
-            self._application.keep_house()
+    def _state(self) -> status.VmState:
+        if self._application.leaving:
+            return status.VmState.LEAVING
+        if self._follower.first.is_set():
+            return status.VmState.SERVING
+        return status.VmState.STARTING
 
-    async def _follow_store(
-        self, *, task_status: trio.TaskStatus[None]
+    def _announce(
+        self, ports: Ports, task_status: trio.TaskStatus[Ports]
     ) -> None:
-        known = ""
-        while True:
-            result = await self._store.watch(
-                values.INDEX_KEY, known, WATCH_WAIT
-            )
-            if result.is_error():
-                await trio.sleep(STORE_RETRY_PAUSE)
-                continue
-            if result.ok is None:
-                continue
-            known = values.digest(result.ok)
-            await self._take(result.ok)
-            if task_status is not None:
-                task_status.started()
-                task_status = None
-
-    async def _take(self, index_value: bytes) -> None:
-        index = assembly.decode_index(index_value)
-        if index.is_error():
-            return
-        values_by_key = dict(
-            self._assembled.values_by_key if self._assembled else {}
+        events.emit(
+            events.VM_STARTED,
+            vm_id=self._settings.vm_id,
+            caller_port=ports.caller_port,
+            admin_port=ports.admin_port,
         )
-        for key in values.part_keys(index.ok):
-            if key in values_by_key:
-                continue
-            part = await self._store.read(key)
-            if part.is_error():
-                return
-            values_by_key[key] = part.ok
-        result = assembly.assemble(index_value, values_by_key, self._assembled)
-        if result.is_error():
-            return
-        in_force = documents.empty_document(self._settings.fleet)
-        if self._assembled is not None:
-            in_force = self._assembled.document
-        if versions.accept(in_force, result.ok.document).is_error():
-            return
-        self._assembled = result.ok
-        self._application.set_document(result.ok.document)
+        task_status.started(ports)
+
+    def _set_document(self, document: documents.Document) -> None:
+        self._application.set_document(document)
+        self._parts.on_document(document)
         collector.spare_new()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_INTERVAL)
+            self._application.keep_house()
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -9,24 +9,36 @@
 from primrosemill.proxy import asgi
 from primrosemill.proxy import caller_connection
 from primrosemill.proxy import sockets
+from primrosemill.telemetry import events
 
 KEEP_ALIVE_TIMEOUT = 75.0  # seconds that a caller's connection may be idle
-SWEEP_INTERVAL = 1.0  # seconds
+SWEEP_INTERVAL = 0.25  # seconds
 BACKLOG = 1024  # connections
 ACCEPT_PAUSE = 0.1  # seconds, while the process has no file left
 UNLIMITED = 2**62
 
 
+def log_failure(error: Exception) -> None:
+    """Log a fault of our own that ended a request."""
+    events.emit(events.REQUEST_FAILED, error=repr(error))
+
+
 class Server:
     """Serves an ASGI application to callers until it is drained."""
 
-    def __init__(self, handler: asgi.Handler) -> None:
+    def __init__(
+        self,
+        handler: asgi.Handler,
+        on_failure: caller_connection.OnFailure = log_failure,
+    ) -> None:
         self._handler = handler
+        self._on_failure = on_failure
         self._config = make_config()
         self._context = hypercorn.trio.worker_context.WorkerContext(None)
         self._connections: set[caller_connection.CallerConnection] = set()
         self._accepting = trio.CancelScope()
         self._draining = False
+        self._drained = trio.Event()
 
     @property
     def connections(self) -> int:
@@ -44,18 +56,22 @@
         with sockets.listen(ip, port, BACKLOG) as listener:
             task_status.started(listener.getsockname()[1])
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._sweep, nursery.cancel_scope)
+                nursery.start_soon(self._sweep)
                 with self._accepting:
                     await self._accept(listener, nursery)
-                trio.lowlevel.notify_closing(listener)
                 listener.close()
+        self._drained.set()
 
     async def drain(self) -> None:
-        """Stop accepting; connections close once they are idle."""
+        """Stop accepting; returns when every connection is closed.
+
+        Idle connections close at once, others after their answer.
+        """
         self._draining = True
         await self._context.terminated.set()
         self._accepting.cancel()
         self._close_idle()
+        await self._drained.wait()
 
     async def _accept(
         self, listener: socket.socket, nursery: trio.Nursery
@@ -71,7 +87,12 @@
     async def _serve_connection(self, sock: sockets.Socket) -> None:
         async with trio.open_nursery() as nursery:
             connection = caller_connection.CallerConnection(
-                self._handler, self._config, self._context, sock, nursery
+                self._handler,
+                self._config,
+                self._context,
+                sock,
+                nursery,
+                self._on_failure,
             )
             self._connections.add(connection)
             try:
@@ -79,11 +100,10 @@
             finally:
                 self._connections.discard(connection)
 
-    async def _sweep(self, scope: trio.CancelScope) -> None:
+    async def _sweep(self) -> None:
         while self._connections or not self._draining:
             await trio.sleep(SWEEP_INTERVAL)
             self._close_idle()
-        scope.cancel()
 
     def _close_idle(self) -> None:
         lifetime = 0.0 if self._draining else KEEP_ALIVE_TIMEOUT
--- /dev/null
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -0,0 +1,154 @@
+"""Catalogues the numbered events that a VM logs.
+
+The numbers of one area share their first digit: 1 the VM, 2 the
+configuration, 3 requests, 4 instances, 5 the fleet. A number is never given
+to another event. docs/events.md is made from this catalogue.
+"""
+
+import enum
+import typing
+
+import eliot
+
+
+class Level(enum.StrEnum):
+    """How soon somebody should look."""
+
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event(typing.NamedTuple):
+    """One kind of event; ``fields`` are logged beside the number."""
+
+    number: str
+    name: str
+    level: Level
+    meaning: str
+    fields: tuple[str, ...] = ()
+
+
+VM_STARTED = Event(
+    "PM1001",
+    "vm_started",
+    Level.INFO,
+    "The VM listens to callers.",
+    ("vm_id", "caller_port", "admin_port"),
+)
+VM_LEAVING = Event(
+    "PM1002",
+    "vm_leaving",
+    Level.INFO,
+    "The VM was asked to stop. It goes on serving callers that hold its "
+    "address, and takes no new connections after that.",
+    ("vm_id", "signal", "serve_seconds"),
+)
+VM_STOPPED = Event(
+    "PM1003",
+    "vm_stopped",
+    Level.INFO,
+    "The VM stops; no request was in flight.",
+    ("vm_id",),
+)
+VM_STOP_CUT_SHORT = Event(
+    "PM1004",
+    "vm_stop_cut_short",
+    Level.WARNING,
+    "The VM stops with requests in flight: a second signal came or the time "
+    "for a graceful stop was over.",
+    ("vm_id", "requests_in_flight", "cause"),
+)
+CONFIGURATION_IN_FORCE = Event(
+    "PM2001",
+    "configuration_in_force",
+    Level.INFO,
+    "A new version of the configuration is in force on this VM.",
+    ("version", "digest", "services"),
+)
+CONFIGURATION_REFUSED = Event(
+    "PM2002",
+    "configuration_refused",
+    Level.ERROR,
+    "A published version is invalid, older or in conflict with the one in "
+    "force, which stays.",
+    ("version", "faults"),
+)
+STORE_UNREACHABLE = Event(
+    "PM2003",
+    "store_unreachable",
+    Level.WARNING,
+    "The store does not answer; the configuration in force stays.",
+    ("fault",),
+)
+STORE_REACHABLE = Event(
+    "PM2004",
+    "store_reachable",
+    Level.INFO,
+    "The store answers again.",
+)
+REQUEST_REFUSED = Event(
+    "PM3001",
+    "request_refused",
+    Level.WARNING,
+    "Requests were refused for this reason; logged at its first occurrence "
+    "and then at most once in ten seconds, with the number left out.",
+    ("reason", "left_out"),
+)
+REQUEST_UNKNOWN = Event(
+    "PM3002",
+    "request_unknown",
+    Level.WARNING,
+    "Nobody can tell whether requests were run; logged as PM3001 is.",
+    ("reason", "left_out"),
+)
+ANSWER_ABORTED = Event(
+    "PM3003",
+    "answer_aborted",
+    Level.WARNING,
+    "Answers broke after their start went on, and the callers' connections "
+    "were reset; logged as PM3001 is.",
+    ("reason", "left_out"),
+)
+REQUEST_FAILED = Event(
+    "PM3004",
+    "request_failed",
+    Level.ERROR,
+    "A fault of the proxy itself ended a request; its caller's connection "
+    "was reset.",
+    ("error",),
+)
+
+CATALOGUE = (
+    VM_STARTED,
+    VM_LEAVING,
+    VM_STOPPED,
+    VM_STOP_CUT_SHORT,
+    CONFIGURATION_IN_FORCE,
+    CONFIGURATION_REFUSED,
+    STORE_UNREACHABLE,
+    STORE_REACHABLE,
+    REQUEST_REFUSED,
+    REQUEST_UNKNOWN,
+    ANSWER_ABORTED,
+    REQUEST_FAILED,
+)
+
+
+class WrongFieldsError(Exception):
+    """An event was emitted with other fields than its catalogue entry."""
+
+    def __init__(self, event: Event, given: frozenset[str]) -> None:
+        super().__init__(event.number, sorted(given))
+
+
+def emit(event: Event, **fields: typing.Any) -> None:
+    """Log one event; raises WrongFieldsError."""
+    if fields.keys() != frozenset(event.fields):
+        raise WrongFieldsError(event, frozenset(fields))
+    eliot.log_message(
+        message_type=event.number,
+        event=event.name,
+        level=event.level.value,
+        **fields,
+    )
--- a/packages/telemetry/src/primrosemill/telemetry/metrics.py
+++ b/packages/telemetry/src/primrosemill/telemetry/metrics.py
@@ -43,6 +43,15 @@
         self._children_by_value[value].inc()
 
 
+def counter(
+    name: str, help_text: str, registry: prometheus_client.CollectorRegistry
+) -> prometheus_client.Counter:
+    """Return a counter without labels."""
+    return prometheus_client.Counter(
+        PREFIX + name, help_text, registry=registry
+    )
+
+
 def latency_histogram(
     name: str, help_text: str, registry: prometheus_client.CollectorRegistry
 ) -> prometheus_client.Histogram:
--- /dev/null
+++ b/packages/telemetry/src/primrosemill/telemetry/pages.py
@@ -0,0 +1,38 @@
+"""Writes docs/events.md from the catalogue.
+
+Run ``python -m primrosemill.telemetry.pages > docs/events.md``.
+"""
+
+from primrosemill.telemetry import events
+
+HEAD = """\
+# Events
+
+A VM logs one JSON object a line (eliot). `message_type` holds the number,
+`event` the name, `level` how soon somebody should look. This page is made
+from the catalogue by `python -m primrosemill.telemetry.pages`; a test
+compares the two.
+
+| number | name | level | meaning | fields |
+| --- | --- | --- | --- | --- |
+"""
+
+
+def events_page() -> str:
+    """Return the text of docs/events.md."""
+    lines = []
+    for event in events.CATALOGUE:
+        fields = ", ".join(f"`{field}`" for field in event.fields)
+        cells = (
+            event.number,
+            f"`{event.name}`",
+            event.level.value,
+            event.meaning,
+            fields,
+        )
+        lines.append(f"| {' | '.join(cells)} |\n")
+    return HEAD + "".join(lines)
+
+
+if __name__ == "__main__":
+    print(events_page(), end="")
--- /dev/null
+++ b/tests/proxy/test_stop.py
@@ -0,0 +1,166 @@
+import functools
+import os
+import random
+import signal
+
+import httpcore
+import msgspec
+import testtools
+import trio
+
+from primrosemill.proxy import daemon
+from primrosemill.proxy import settings
+from primrosemill.proxy import status
+from primrosemill.standins import asgi
+from primrosemill.standins import instance
+from primrosemill.standins import platform
+from tests.builders import configuration
+from tests.builders import path as builders
+
+LIFETIME = 0.3  # seconds
+
+
+class WatchedInstance(instance.InstanceStandin):
+    """Tells when a request reached it."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.met = trio.Event()
+
+    async def __call__(self, scope, receive, send):
+        self.met.set()
+        await super().__call__(scope, receive, send)
+
+
+class DaemonCase(testtools.TestCase):
+    def run_with(self, check, service_time=0.0):
+        self.left = trio.Event()
+        trio.run(functools.partial(self._run, check, service_time))
+
+    async def _run(self, check, service_time):
+        async with trio.open_nursery() as nursery:
+            self.backend = WatchedInstance("res-0", 3, service_time)
+            addresses = await builders.start_standins(nursery, [self.backend])
+            store = platform.PlatformStandin()
+            value = configuration.instance_value(0, address=addresses[0])
+            service = configuration.service_value(instances=[value], floor=1)
+            store.publish(configuration.published(service))
+            at = await nursery.start(asgi.serve, store, builders.IP)
+            parts = daemon.plain_parts()._replace(on_leaving=self.left.set)
+            vm = daemon.Daemon(
+                settings.Settings(
+                    configuration.FLEET,
+                    "vm-0",
+                    builders.IP,
+                    configuration.DOMAINS[0],
+                    at.address,
+                    0,
+                    0,
+                    0,
+                ),
+                random.Random(1),
+                parts=parts,
+                answer_lifetime=LIFETIME,
+            )
+            with trio.fail_after(20):
+                await check(vm, nursery)
+            nursery.cancel_scope.cancel()
+
+    async def get(self, port, target, tag="r1"):
+        async with httpcore.AsyncConnectionPool() as pool:
+            return await pool.request(
+                "GET",
+                f"http://{builders.IP}:{port}{target}",
+                headers={"x-request-id": tag},
+            )
+
+
+class StopTest(DaemonCase):
+    def test_a_signal_lets_requests_finish_and_old_callers_in(self):
+        async def check(vm, nursery):
+            ports = await nursery.start(vm.run_until_signalled)
+            answers = []
+
+            async def call(tag):
+                answers.append(
+                    await self.get(ports.caller_port, "/slots", tag)
+                )
+
+            async with trio.open_nursery() as calls:
+                calls.start_soon(call, "before")
+                await self.backend.met.wait()
+                os.kill(os.getpid(), signal.SIGTERM)
+                await self.left.wait()
+                calls.start_soon(call, "during")
+                ready = await self.get(ports.admin_port, "/ready")
+                self.assertEqual(503, ready.status)
+            self.assertEqual([200, 200], [each.status for each in answers])
+            await wait_until_refused(ports.caller_port)
+
+        self.run_with(check, service_time=0.2)
+        self.assertEqual(2, len(self.backend.runs))
+
+    def test_a_second_signal_stops_at_once(self):
+        async def check(vm, nursery):
+            async with trio.open_nursery() as running:
+                ports = await running.start(vm.run_until_signalled)
+                async with trio.open_nursery() as calls:
+                    calls.start_soon(self.expect_cut_off, ports.caller_port)
+                    await self.backend.met.wait()
+                    os.kill(os.getpid(), signal.SIGTERM)
+                    await self.left.wait()
+                    os.kill(os.getpid(), signal.SIGTERM)
+
+        self.run_with(check, service_time=1e9)
+
+    async def expect_cut_off(self, port):
+        with testtools.ExpectedException(httpcore.ReadError):
+            await self.get(port, "/slots")
+
+
+async def wait_until_refused(port):
+    while True:
+        try:
+            stream = await trio.open_tcp_stream(builders.IP, port)
+        except OSError:
+            return
+        await stream.aclose()
+        await trio.sleep(0.01)
+
+
+class AdminTest(DaemonCase):
+    def test_the_admin_port_tells_health_readiness_metrics_and_status(self):
+        async def check(vm, nursery):
+            ports = await nursery.start(vm.run)
+            await self.get(ports.caller_port, "/nowhere")
+            for target in ("/health", "/ready"):
+                answer = await self.get(ports.admin_port, target)
+                self.assertEqual(200, answer.status)
+            metrics = await self.get(ports.admin_port, "/metrics")
+            self.assertIn(
+                b'primrosemill_refusals_total{reason="no_route"} 1.0',
+                metrics.content,
+            )
+            answer = await self.get(ports.admin_port, "/status")
+            told = msgspec.json.decode(answer.content, type=status.Status)
+            self.assertEqual("serving", told["state"])
+            self.assertEqual(1, told["configuration"]["version"])
+            instances = told["services"][0]["instances"]
+            self.assertEqual("in_rotation", instances[0]["state"])
+            missing = await self.get(ports.admin_port, "/other")
+            self.assertEqual(404, missing.status)
+
+        self.run_with(check)
+
+    def test_an_upstream_fault_of_the_proxy_resets_the_caller(self):
+        async def check(vm, nursery):
+            ports = await nursery.start(vm.run)
+            vm._application._find = None
+            with testtools.ExpectedException(httpcore.ReadError):
+                await self.get(ports.caller_port, "/slots")
+            metrics = await self.get(ports.admin_port, "/metrics")
+            self.assertIn(
+                b"primrosemill_request_failures_total 1.0", metrics.content
+            )
+
+        self.run_with(check)
--- /dev/null
+++ b/tests/telemetry/test_events.py
@@ -0,0 +1,54 @@
+import pathlib
+
+import eliot.testing
+import testtools
+
+from primrosemill.telemetry import events
+from primrosemill.telemetry import limiter
+from primrosemill.telemetry import pages
+
+PAGE = pathlib.Path("docs/events.md")
+
+
+class CatalogueTest(testtools.TestCase):
+    def test_the_page_says_what_the_catalogue_says(self):
+        self.assertEqual(pages.events_page(), PAGE.read_text())
+
+    def test_numbers_and_names_are_unique(self):
+        numbers = {event.number for event in events.CATALOGUE}
+        names = {event.name for event in events.CATALOGUE}
+        self.assertEqual(len(events.CATALOGUE), len(numbers))
+        self.assertEqual(len(events.CATALOGUE), len(names))
+
+    def test_every_event_of_the_module_is_in_the_catalogue(self):
+        defined = {
+            value
+            for value in vars(events).values()
+            if isinstance(value, events.Event)
+        }
+        self.assertEqual(defined, set(events.CATALOGUE))
+
+    def test_other_fields_than_the_catalogue_names_are_an_error(self):
+        with testtools.ExpectedException(events.WrongFieldsError):
+            events.emit(events.VM_STOPPED, vm="vm-0")
+
+    @eliot.testing.capture_logging(None)
+    def test_an_event_carries_its_number_and_fields(self, logger):
+        events.emit(events.VM_STOPPED, vm_id="vm-0")
+        self.assertEqual("PM1003", logger.messages[0]["message_type"])
+        self.assertEqual("vm-0", logger.messages[0]["vm_id"])
+
+
+class LimiterTest(testtools.TestCase):
+    def test_the_first_passes_and_the_next_are_counted(self):
+        limited = limiter.Limiter(10.0)
+        self.assertEqual(0, limited.admit("full", 0.0))
+        self.assertIsNone(limited.admit("full", 1.0))
+        self.assertIsNone(limited.admit("full", 9.9))
+        self.assertEqual(2, limited.admit("full", 10.0))
+        self.assertEqual(0, limited.admit("full", 20.0))
+
+    def test_keys_are_apart(self):
+        limited = limiter.Limiter(10.0)
+        self.assertEqual(0, limited.admit("full", 0.0))
+        self.assertEqual(0, limited.admit("deadline", 0.0))
