--- /dev/null
+++ b/tests/decisions/test_limits.py
@@ -0,0 +1,96 @@
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import limits
+from tests.builders import decisions_routing as builders
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=100, deadline=None
+)
+LIMIT = documents.Limit(10.0, 5)
+
+
+def count(built, requests, now=0.0, caller="a", limit=LIMIT, share=1.0):
+    admitted = 0
+    for _ in range(requests):
+        admitted += built.take("s", caller, limit, share, now) is None
+    return admitted
+
+
+class LimitsTest(testtools.TestCase):
+    def test_burst_then_rate(self):
+        built = limits.CallerLimits()
+        self.assertEqual(5, count(built, 20))
+        self.assertEqual(2, count(built, 20, now=0.2))
+        self.assertEqual(5, count(built, 20, now=60.0))
+
+    def test_retry_after_is_when_the_next_fits(self):
+        built = limits.CallerLimits()
+        count(built, 5)
+        over = built.take("s", "a", LIMIT, 1.0, 0.0)
+        self.assertAlmostEqual(0.1, over.retry_after)
+        self.assertEqual(1, count(built, 1, now=over.retry_after))
+
+    def test_callers_and_services_do_not_share(self):
+        built = limits.CallerLimits()
+        count(built, 100)
+        self.assertEqual(5, count(built, 5, caller="b"))
+        self.assertIsNone(built.take("other", "a", LIMIT, 1.0, 0.0))
+
+    def test_nothing_allowed(self):
+        nothing = documents.Limit(0.0, 0)
+        over = limits.CallerLimits().take("s", "a", nothing, 1.0, 0.0)
+        self.assertEqual(float("inf"), over.retry_after)
+
+    def test_a_share_scales_rate_and_burst(self):
+        built = limits.CallerLimits()
+        self.assertEqual(2, count(built, 9, share=0.4))
+        self.assertEqual(4, count(built, 9, now=1.0, share=0.4) * 2)
+
+    def test_memory_is_bounded_and_late_callers_share(self):
+        built = limits.CallerLimits(capacity=100, shared_buckets=4)
+        admitted = 0
+        for number in range(1000):
+            admitted += count(built, 1, caller=f"caller-{number}")
+        self.assertLessEqual(len(built), 104)
+        self.assertEqual(100 + 4 * LIMIT.burst, admitted)
+
+    def test_full_buckets_are_forgotten(self):
+        built = limits.CallerLimits()
+        for number in range(100):
+            count(built, 1, caller=f"caller-{number}")
+        count(built, 200, now=60.0)
+        self.assertEqual(1, len(built))
+
+    def test_callers_without_an_entry_get_the_default(self):
+        document = documents.empty_document("atlas")._replace(
+            default_limit=LIMIT, limits_by_caller={"a": documents.Limit(1, 1)}
+        )
+        self.assertEqual(1, limits.limit_of(document, "a").burst)
+        self.assertEqual(LIMIT, limits.limit_of(document, "b"))
+
+    @SETTINGS
+    @hypothesis.given(strategies.text(max_size=9), strategies.integers(1, 12))
+    def test_shares_over_the_fleet_are_bounded(self, caller, home_count):
+        vms = builders.vms(36)
+        homes = vms[:home_count]
+        shares = [limits.share_of(vm, caller, homes, 36) for vm in vms]
+        domains = len({vm.domain for vm in homes})
+        self.assertEqual(domains, shares.count(1.0))
+        self.assertLessEqual(sum(shares), domains + 2)
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0.0, 2.0), max_size=80)
+    )
+    def test_never_more_than_burst_and_rate(self, gaps):
+        built = limits.CallerLimits()
+        now, admitted = 0.0, 0
+        for gap in gaps:
+            now += gap
+            admitted += count(built, 3, now=now)
+            self.assertLessEqual(
+                admitted, LIMIT.burst + LIMIT.rate * now + 1e-6
+            )
--- /dev/null
+++ b/tests/decisions/test_ramp.py
@@ -0,0 +1,67 @@
+import hypothesis
+from hypothesis import strategies
+import testtools
+
+from primrosemill.decisions import ramp
+from primrosemill.decisions import standings
+from tests.builders import decisions_routing as builders
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, max_examples=60, deadline=None
+)
+STATES = standings.State
+
+
+class RampTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ramp = ramp.Ramp(builders.service(4))
+
+    def test_a_vm_that_starts_takes_every_instance_for_warm(self):
+        self.assertEqual({}, self.ramp.cold(0.0))
+
+    def test_an_instance_in_a_newer_revision_ramps_up(self):
+        self.ramp.set_service(builders.service(5, revision=2), 100.0)
+        self.assertEqual({"res-4": ramp.LEAST_SHARE}, self.ramp.cold(100.0))
+        self.assertAlmostEqual(0.5, self.ramp.share("res-4", 105.0))
+        self.assertEqual({}, self.ramp.cold(110.0))
+
+    def test_a_replaced_address_ramps_up(self):
+        moved = builders.instance(0, port=9999)
+        instances = (moved, *builders.service(4).instances[1:])
+        self.ramp.set_service(builders.service(4, instances=instances), 1.0)
+        self.assertEqual(["res-0"], list(self.ramp.cold(1.0)))
+
+    def test_back_in_service_ramps_up_and_leaving_does_not(self):
+        leaving = builders.instance(0, state="leaving")
+        instances = (leaving, *builders.service(4).instances[1:])
+        self.ramp.set_service(builders.service(4, instances=instances), 1.0)
+        self.assertEqual({}, self.ramp.cold(1.0))
+        self.ramp.set_service(builders.service(4), 2.0)
+        self.assertEqual(["res-0"], list(self.ramp.cold(2.0)))
+
+    def test_mostly_new_instances_carry_the_load_at_once(self):
+        self.ramp.set_service(builders.service(12, revision=2), 1.0)
+        self.assertEqual({}, self.ramp.cold(1.0))
+
+    def test_a_return_from_trial_ramps_up(self):
+        self.ramp.note_return("res-1", 5.0)
+        self.ramp.note_return("unknown", 5.0)
+        self.assertEqual(["res-1"], list(self.ramp.cold(5.0)))
+
+    def test_what_speaks_against_an_instance_goes_first(self):
+        self.ramp.note_return("res-1", 5.0)
+        applied = self.ramp.apply("res-1", standings.HEALTHY, 5.0)
+        self.assertIs(STATES.COLD, applied.state)
+        self.assertEqual(ramp.LEAST_SHARE, applied.share)
+        ejected = standings.Standing(STATES.EJECTED)
+        self.assertIs(ejected, self.ramp.apply("res-1", ejected, 5.0))
+        warm = self.ramp.apply("res-0", standings.HEALTHY, 5.0)
+        self.assertIs(standings.HEALTHY, warm)
+
+    @SETTINGS
+    @hypothesis.given(strategies.lists(strategies.floats(0.0, 20.0)))
+    def test_the_share_never_shrinks(self, times):
+        self.ramp.note_return("res-1", 0.0)
+        shares = [self.ramp.share("res-1", each) for each in sorted(times)]
+        self.assertEqual(sorted(shares), shares)
