--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,12 @@
 VENV := .venv
 BIN := $(VENV)/bin
 UV_VERSION := 0.13.9
+# What the binary holds; the other packages are for developers and operators.
+SHIPPED := $(addprefix packages/,cli configuration decisions fleet platform \
+	proxy telemetry)
+SHIPPED_SOURCES := $(shell find $(SHIPPED) -name '*.py') \
+	$(addsuffix /pyproject.toml,$(SHIPPED))
+SITE := build/site
 
 .PHONY: install test lint format unit demo binary lock clean
 
@@ -34,11 +40,29 @@
 unit: install
 	$(BIN)/python -m tools.run_tests
 
-test: lint unit
+test: lint binary unit
 
 demo: install
 	$(BIN)/python -m primrosemill.measure demo
 
+binary: dist/primrosemill
+
+# Our own packages are built from nothing each time: what setuptools and the
+# cache of uv keep of them does not follow a change of a source file.
+dist/primrosemill: requirements/runtime.lock $(SHIPPED_SOURCES) | install
+	rm -rf $(SITE) $(addsuffix /build,$(SHIPPED))
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --target $(SITE) \
+		--require-hashes -r requirements/runtime.lock
+	$(BIN)/uv pip install --quiet --python $(BIN)/python --target $(SITE) \
+		--no-cache --no-deps --no-build-isolation $(SHIPPED)
+	rm -rf $(addsuffix /build,$(SHIPPED))
+	find $(SITE) -depth -type d -name tests -exec rm -r {} +
+	mkdir -p dist
+	$(BIN)/shiv --site-packages $(SITE) --console-script primrosemill \
+		--output-file $@.new --root '~/.cache/primrosemill' \
+		--compressed --reproducible --python '/usr/bin/env python3.11'
+	mv $@.new $@
+
 # Renews the locks; they name versions and digests, and no registry.
 lock: install
 	for set in runtime develop; do $(BIN)/uv pip compile --quiet \
--- a/tests/cli/test_proxy.py
+++ b/tests/cli/test_proxy.py
@@ -1,21 +1,15 @@
 import pathlib
-import subprocess
 import sys
 import tempfile
 
 from click import testing
-import httpcore
 import testtools
 import trio
 
 from primrosemill.cli import main
-from primrosemill.standins import asgi
-from primrosemill.standins import instance
-from primrosemill.standins import platform
-from tests.builders import configuration as builders
-from tests.builders import settings as settings_builders
+from tests.builders import processes
 
-COMMAND = (sys.executable, "-m", "primrosemill.cli", "proxy", "--settings")
+COMMAND = (sys.executable, "-m", "primrosemill.cli")
 
 
 class ProxyTest(testtools.TestCase):
@@ -35,37 +29,10 @@
         self.assertIn("MissingSection", result.stderr)
 
     def test_a_vm_runs_as_a_process_of_its_own(self):
-        trio.run(self._send_one)
+        async def body():
+            async with processes.running_vm(COMMAND, self.path) as vm:
+                content = await vm.get("/slots/today", "r1")
+                self.assertEqual(b"r1 res-0", content)
+                self.assertEqual({"r1": 1}, vm.backend.runs_by_tag)
 
-    async def _send_one(self):
-        async with trio.open_nursery() as nursery:
-            backend = instance.InstanceStandin("res-0", 3, 0.0)
-            served = await nursery.start(asgi.serve, backend, "127.0.0.1")
-            instances = [builders.instance_value(0, address=served.address)]
-            service = builders.service_value(instances=instances, floor=1)
-            store = platform.PlatformStandin()
-            store.publish(builders.published(service))
-            at = await nursery.start(asgi.serve, store, "127.0.0.1")
-            self.path.write_text(
-                settings_builders.text(platform={"address": at.address})
-            )
-            process = await trio.lowlevel.open_process(
-                [*COMMAND, str(self.path)],
-                stdout=subprocess.PIPE,
-                stderr=subprocess.DEVNULL,
-            )
-            try:
-                with trio.fail_after(30):
-                    line = await process.stdout.receive_some()
-                    address = line.decode().split()[-1]
-                    async with httpcore.AsyncConnectionPool() as pool:
-                        response = await pool.request(
-                            "GET",
-                            f"http://{address}/slots/today",
-                            headers={"x-request-id": "r1"},
-                        )
-            finally:
-                process.kill()
-                await process.wait()
-            self.assertEqual(b"r1 res-0", response.content)
-            nursery.cancel_scope.cancel()
+        trio.run(body)
