--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -52,9 +52,8 @@
         store = platform.PlatformStandin()
         store.publish(builders.published(service))
         at = await nursery.start(asgi.serve, store, IP)
-        settings_path.write_text(
-            settings_builders.text(platform={"address": at.address})
-        )
+        text = settings_builders.text(platform={"address": at.address})
+        await trio.Path(settings_path).write_text(text)
         process = await trio.lowlevel.open_process(
             [*command, "proxy", "--settings", str(settings_path)],
             stdout=subprocess.PIPE,
--- a/tests/cli/test_binary.py
+++ b/tests/cli/test_binary.py
@@ -22,6 +22,11 @@
     ]
 
 
+def command_line(pid):
+    line = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
+    return line.decode().split("\0")
+
+
 class BinaryTest(testtools.TestCase):
     """Runs what ``make binary`` built; ``make test`` builds it first."""
 
@@ -53,7 +58,6 @@
                 content = await vm.get("/slots/today", "r1")
                 self.assertEqual(b"r1 res-0", content)
                 self.assertEqual([], children(vm.process.pid))
-                line = pathlib.Path(f"/proc/{vm.process.pid}/cmdline")
-                self.assertIn(str(BINARY).encode(), line.read_bytes())
+                self.assertIn(str(BINARY), command_line(vm.process.pid))
 
         trio.run(body)
