Bound retries by a budget and model check floor and outcomes

Retries that only count tries multiply the load of a failing service by four.

The model of the floor found two ways past it, both closed: a peer that follows an ejection late, after the owner has put another instance in its place, and a report that is older than a change of owner. The owner now settles after each change: it ejects nothing before it has heard every peer two delays later.

--- a/packages/decisions/src/primrosemill/decisions/deciding.py
+++ b/packages/decisions/src/primrosemill/decisions/deciding.py
@@ -44,8 +44,13 @@
                 del self._ranked_until_by_id[instance_id]
 
     def settle(self, now: float) -> None:
-        """Hear every peer again before ejecting anything."""
-        self._settling_since = now
+        """Hear every peer again before ejecting anything.
+
+        Reports under way may be older than what made this VM settle, for
+        one delay at most; what peers then send is later than all of them
+        and arrives within another.
+        """
+        self._settling_since = now + 2.0 * peers.MOST_DELAY
 
     def ranked_last(self, now: float) -> frozenset[str]:
         """Return what is in rotation, but behind all others."""
@@ -86,12 +91,18 @@
                 continue
             ages = self._board.age_evidence(instance_id)
             end = self.rotation.settle_trial(instance_id, ages, now)
-            if end is not None:
-                self._board.abandon(instance_id)
+            if end is None:
+                continue
+            self._board.abandon(instance_id)
+            if end.passed:
+                # Peers may have it out a moment longer; until they say
+                # otherwise nothing else may go out in its place.
+                self.settle(now)
 
     def _follow_owner(self, now: float) -> None:
         """Let the owner's word take over or end what is out here."""
         ejected = self._peers.ejected_by_owner()
+        heard_owner = self._peers.heard_from(self._peers.owner)
         for instance_id, case in list(self.rotation.cases_by_id.items()):
             if self._peers.owning:
                 owned = case._replace(followed=False)
@@ -102,7 +113,9 @@
                     state=standings.State.EJECTED, score=0.0, followed=True
                 )
                 self.rotation.take_out(instance_id, followed, now)
-            elif case.followed and instance_id not in ejected:
+            elif instance_id in ejected or not heard_owner:
+                continue
+            elif case.state is standings.State.EJECTED:
                 self.rotation.bring_back(instance_id, now)
 
     def _wished_cases(self, now: float) -> dict[str, rotation.Case]:
@@ -232,6 +245,7 @@
                 record = self.rotation.record(instance_id)
                 hold = returns.wait_of(record.flaps)
                 self.rotation.call_back(instance_id, now)
+                self.settle(now)
             self._rank_last(instance_id, hold, now)
             return
         self._ranked_until_by_id.pop(instance_id, None)
--- a/packages/decisions/src/primrosemill/decisions/peers.py
+++ b/packages/decisions/src/primrosemill/decisions/peers.py
@@ -6,6 +6,7 @@
 from primrosemill.decisions import standings
 
 FRESH = 3.0  # seconds; an older report carries no weight as evidence.
+MOST_DELAY = 1.0  # seconds; a report under way for longer is dropped.
 OUT_STATES = frozenset({standings.State.EJECTED, standings.State.TRIAL})
 
 
@@ -86,6 +87,10 @@
                 return False
         return True
 
+    def heard_from(self, vm_id: str) -> bool:
+        """Tell whether a home ever reported."""
+        return vm_id in self._heard_by_vm
+
     def fresh(self, now: float) -> list[Heard]:
         """Return the reports that still carry weight as evidence."""
         return [
--- /dev/null
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -0,0 +1,32 @@
+"""Bounds the attempts of a service to a share more than its requests."""
+
+RETRY_SHARE = 0.15  # attempts that each request earns beyond its first
+RESERVE = 10.0  # attempts; what a quiet service may spend at once
+
+
+class RetryBudget:
+    """Holds the attempts of one service that may still be spent.
+
+    Every request pays in a share of an attempt, and each retry or hedge
+    takes a whole one out. Over any time, attempts stay within the requests
+    times ``1 + RETRY_SHARE`` plus the reserve, whatever the outcomes are.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = RESERVE
+
+    @property
+    def left(self) -> float:
+        """Return the attempts that may still be spent."""
+        return self._tokens
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._tokens = min(RESERVE, self._tokens + RETRY_SHARE)
+
+    def spend(self) -> bool:
+        """Take one attempt out, or return False when there is none left."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- a/packages/decisions/src/primrosemill/decisions/suspicion.py
+++ b/packages/decisions/src/primrosemill/decisions/suspicion.py
@@ -384,7 +384,8 @@
         if not record.in_flight:
             return 0.0
         factor = self._stretch
-        if record.cold_until > alive:
+        restarted = record.refused >= UNREACHABLE_AFTER
+        if restarted or record.cold_until > alive:
             factor *= COLD_AGE_FACTOR
         weigh = self._baseline.weigh_age
         most = ONE_AGE_SHARE * self._limits.act + SILENT_BONUS
--- /dev/null
+++ b/tests/decisions/test_drains.py
@@ -0,0 +1,94 @@
+import testtools
+
+from primrosemill.decisions import standings
+from tests.builders import detection as builders
+
+DRAINING = standings.State.DRAINING
+
+
+class DrainsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.service = builders.service()
+        self.driver = builders.Driver(self.service, homes=3)
+        self.driver.run(1.0)
+
+    def state(self):
+        return self.driver.state(3)
+
+    def test_the_first_sign_counts_at_once(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        self.assertEqual(DRAINING, self.state())
+        self.assertFalse(self.driver.takes_work("res-3"))
+        changed = self.driver.detector.tick(self.driver.now)
+        self.assertIn("res-3", changed)
+
+    def test_a_sign_of_an_unknown_instance_is_ignored(self):
+        self.driver.detector.saw_draining("absent", self.driver.now)
+        self.assertNotIn("absent", self.driver.detector.standings_by_id)
+
+    def test_a_peers_sign_counts_at_once(self):
+        report = builders.report(1, builders.entry("res-3", draining=True))
+        self.driver.detector.heard(report, self.driver.now)
+        self.assertEqual(DRAINING, self.state())
+
+    def test_only_a_sign_of_its_own_is_passed_on(self):
+        report = builders.report(1, builders.entry("res-3", draining=True))
+        self.driver.detector.heard(report, self.driver.now)
+        own = self.driver.detector.report(self.driver.now)
+        self.assertFalse(any(each.draining for each in own.instances))
+        self.driver.detector.saw_draining("res-4", self.driver.now)
+        own = self.driver.detector.report(self.driver.now)
+        told = [each.instance_id for each in own.instances if each.draining]
+        self.assertEqual(["res-4"], told)
+
+    def test_the_document_may_say_so(self):
+        instances = list(self.service.instances)
+        instances[3] = instances[3]._replace(state="leaving")
+        changed = self.service._replace(revision=2, instances=tuple(instances))
+        self.driver.detector.set_service(changed, self.driver.now)
+        self.assertEqual(DRAINING, self.state())
+
+    def test_another_revision_alone_does_not_end_it(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        changed = self.service._replace(revision=2)
+        self.driver.detector.set_service(changed, self.driver.now)
+        self.driver.run(1.0)
+        self.assertEqual(DRAINING, self.state())
+
+    def test_a_changed_entry_ends_it(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        instances = list(self.service.instances)
+        instances[3] = instances[3]._replace(port=9100)
+        changed = self.service._replace(revision=2, instances=tuple(instances))
+        self.driver.detector.set_service(changed, self.driver.now)
+        self.driver.run(0.1)
+        self.assertEqual(standings.State.IN_ROTATION, self.state())
+
+    def test_a_lagging_probe_does_not_end_it(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        self.driver.run(5.0)
+        self.driver.detector.probed("res-3", True, False, self.driver.now)
+        self.driver.run(0.1)
+        self.assertEqual(DRAINING, self.state())
+
+    def test_a_probe_long_after_the_sign_ends_it(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        self.driver.run(31.0)
+        self.driver.detector.probed("res-3", True, False, self.driver.now)
+        self.driver.run(0.1)
+        self.assertEqual(standings.State.COLD, self.state())
+
+    def test_whoever_saw_the_sign_probes_the_instance(self):
+        self.driver.detector.saw_draining("res-3", self.driver.now)
+        self.driver.detector.due_probes(self.driver.now)
+        self.driver.run(11.0)
+        probes = self.driver.detector.due_probes(self.driver.now)
+        self.assertEqual(["res-3"], [each.instance_id for each in probes])
+
+    def test_a_draining_instance_is_no_healthy_capacity(self):
+        self.driver.detector.saw_draining("res-1", self.driver.now)
+        for number in (4, 5, 6):
+            self.driver.detector.saw_draining(f"res-{number}", self.driver.now)
+        self.driver.run(2.0, {"res-3": None})
+        self.assertEqual(standings.State.RANKED_LAST, self.state())
