Show what a running VM knows with 'primrosemill status'

Reads the admin port within a time and a size, as a table or as JSON; a VM that does not answer as agreed ends the command with status 1 and a typed fault.

--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -5,9 +5,15 @@
 from primrosemill.cli import check
 from primrosemill.cli import exits
 from primrosemill.cli import proxy
+from primrosemill.cli import status
 from primrosemill.cli import version
 
-COMMANDS = (proxy.command, check.command, version.command)
+COMMANDS = (
+    proxy.command,
+    check.command,
+    status.command,
+    version.command,
+)
 
 
 @click.group(epilog=exits.HELP)
--- a/packages/cli/src/primrosemill/cli/proxy.py
+++ b/packages/cli/src/primrosemill/cli/proxy.py
@@ -25,8 +25,9 @@
 def command(path: pathlib.Path) -> None:
     """Run a VM of the fleet in the foreground.
 
-    The address for callers goes to standard output once the VM listens;
-    its log goes to standard error, one JSON object a line.
+    Its addresses go to standard output once it serves callers; its log
+    goes to standard error, one JSON object a line. A first SIGTERM or
+    SIGINT stops it gracefully, a second one at once.
     """
     result = proxy_settings.read(path)
     if result.is_error():
@@ -45,3 +46,4 @@
     async with trio.open_nursery() as nursery:
         ports = await nursery.start(vm.run_until_signalled)
         click.echo(f"callers: {settings.ip}:{ports.caller_port}")
+        click.echo(f"admin: {settings.ip}:{ports.admin_port}")
--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/vms.py
@@ -0,0 +1,69 @@
+"""Asks a running VM, for the commands that show what it knows."""
+
+import typing
+
+import click
+import msgspec
+import trio
+
+from primrosemill.cli import exits
+from primrosemill.configuration import checks
+from primrosemill.platform import bounded
+from primrosemill.platform import interfaces
+
+TIMEOUT = 5.0  # seconds
+# A status names up to 10,000 instances with some 250 bytes each.
+ANSWER_SIZE_LIMIT = 16_000_000  # bytes
+STATUS_OK = 200
+
+
+class AddressType(click.ParamType):
+    """Takes an IP number with a port."""
+
+    name = "address"
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> str:
+        """Return the address as it stands, or fail."""
+        if checks.split_address(value) is None:
+            self.fail(f"{value!r} is no IP number with a port", param, ctx)
+        return value
+
+
+ADDRESS = AddressType()
+
+
+def ask(address: str, path: str, form: typing.Any) -> typing.Any:
+    """Return a VM's answer in an expected form, or end the command.
+
+    A VM that does not answer as agreed ends it with status 1.
+    """
+    result = trio.run(_get, address, path)
+    if result.is_error():
+        _stop(address, result.error)
+    if result.ok.status != STATUS_OK:
+        _stop(address, interfaces.Refused(path, result.ok.status))
+    try:
+        return msgspec.json.decode(result.ok.content, type=form)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        _stop(address, interfaces.BadAnswer(path, str(error)))
+
+
+async def _get(address: str, path: str) -> bounded.AnswerResult:
+    client = bounded.Client(address, ANSWER_SIZE_LIMIT)
+    try:
+        return await client.get(path, TIMEOUT)
+    finally:
+        await client.aclose()
+
+
+def _stop(address: str, fault: interfaces.PlatformFault) -> typing.NoReturn:
+    detail = ", ".join(
+        f"{name}={value!r}" for name, value in fault._asdict().items()
+    )
+    line = f"{address}: {type(fault).__name__}: {detail}"
+    exits.stop(exits.Status.FAILURE, [line])
--- a/tests/builders/processes.py
+++ b/tests/builders/processes.py
@@ -20,10 +20,11 @@
 
 
 class RunningVm(typing.NamedTuple):
-    """A VM's process, where it answers callers, and its instance."""
+    """A VM's process, its callers' and admin ports, and its instance."""
 
     process: trio.Process
     address: str
+    admin_address: str
     backend: instance.InstanceStandin
 
     async def get(self, path: str, tag: str) -> bytes:
@@ -37,6 +38,14 @@
         return response.content
 
 
+async def _read_addresses(process: trio.Process) -> list[str]:
+    """Read the two lines that the command prints once it serves."""
+    printed = b""
+    while printed.count(b"\n") < 2:
+        printed += await process.stdout.receive_some()
+    return [line.split()[-1] for line in printed.decode().splitlines()]
+
+
 @contextlib.asynccontextmanager
 async def running_vm(
     command: typing.Sequence[str],
@@ -62,9 +71,8 @@
         )
         try:
             with trio.fail_after(PATIENCE):
-                line = await process.stdout.receive_some()
-                address = line.decode().split()[-1]
-                yield RunningVm(process, address, backend)
+                addresses = await _read_addresses(process)
+                yield RunningVm(process, *addresses, backend)
         finally:
             process.kill()
             await process.wait()
--- /dev/null
+++ b/tests/cli/test_page.py
@@ -0,0 +1,38 @@
+import pathlib
+import re
+
+from click import testing
+import testtools
+
+from primrosemill.cli import exits
+from primrosemill.cli import main
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "command-line.md"
+
+
+class PageTest(testtools.TestCase):
+    def test_each_command_is_on_the_page(self):
+        named = re.findall(r"^\| `primrosemill (\w+)", PAGE.read_text(), re.M)
+        self.assertEqual([each.name for each in main.COMMANDS], named)
+
+    def test_each_option_is_on_the_page(self):
+        for command in main.COMMANDS:
+            for parameter in command.params:
+                if parameter.param_type_name == "option":
+                    self.assertIn(parameter.opts[0], PAGE.read_text())
+
+    def test_each_exit_status_is_on_the_page_and_in_the_help(self):
+        rows = re.findall(
+            r"^\| (\d) \| (\w+(?: \w+)?)", PAGE.read_text(), re.M
+        )
+        expected = [
+            (str(status.value), status.name.lower().replace("_", " "))
+            for status in exits.Status
+        ]
+        self.assertEqual(expected, rows)
+        for command in main.COMMANDS:
+            result = testing.CliRunner().invoke(
+                main.main, [command.name, "--help"]
+            )
+            self.assertIn(exits.HELP, result.output)
+            self.assertGreater(len(command.get_short_help_str()), 10)
--- a/tests/cli/test_proxy.py
+++ b/tests/cli/test_proxy.py
@@ -34,5 +34,11 @@
                 content = await vm.get("/slots/today", "r1")
                 self.assertEqual(b"r1 res-0", content)
                 self.assertEqual({"r1": 1}, vm.backend.runs_by_tag)
+                told = await trio.run_process(
+                    [*COMMAND, "status", vm.admin_address],
+                    capture_stdout=True,
+                )
+                self.assertIn(b"serving", told.stdout)
+                self.assertIn(b"in_rotation", told.stdout)
 
         trio.run(body)
--- /dev/null
+++ b/tests/cli/test_status.py
@@ -0,0 +1,137 @@
+from click import testing
+import msgspec
+import testtools
+import trio
+
+from primrosemill.cli import main
+from primrosemill.configuration import values
+from primrosemill.decisions import standings
+from primrosemill.proxy import status
+from primrosemill.standins import raw
+from tests.builders import configuration as builders
+
+IP = "127.0.0.1"
+CLOSED_ADDRESS = "127.0.0.1:1"
+
+
+class OneSuspect(status.NoSources):
+    """Knows a peer and thinks badly of one instance."""
+
+    def members(self):
+        return [
+            {
+                "id": "vm-1",
+                "ip": "127.0.0.2",
+                "domain": "hay-riad",
+                "state": "live",
+                "version": 6,
+            }
+        ]
+
+    def homes(self, service):
+        return ["vm-0", "vm-1"]
+
+    def standing(self, service, instance):
+        if instance.id != "res-1":
+            return super().standing(service, instance)
+        return standings.Standing(
+            standings.State.EJECTED, 7.25, "stalled on three VMs", 0.0
+        )
+
+
+def answer(content, code=200):
+    head = f"HTTP/1.1 {code} X\r\ncontent-length: {len(content)}\r\n\r\n"
+    return head.encode() + content
+
+
+def build_status():
+    document = builders.assembled().document
+    services = [
+        status.describe_service(service, 2, OneSuspect())
+        for service in document.services_by_name.values()
+    ]
+    return status.Status(
+        vm_id="vm-0",
+        fleet="atlas",
+        domain="ain-sebaa",
+        state="serving",
+        requests_in_flight=3,
+        configuration={"version": 7, "digest": values.digest(b"")},
+        members=OneSuspect().members(),
+        services=services,
+    )
+
+
+def run(*arguments):
+    return testing.CliRunner().invoke(main.main, ["status", *arguments])
+
+
+def run_against(content, *arguments):
+    """Run the command in a thread while a stand-in answers it."""
+
+    async def body():
+        async with trio.open_nursery() as nursery:
+            standin = raw.RawStandin(content)
+            served = await nursery.start(standin.serve, IP)
+            result = await trio.to_thread.run_sync(
+                lambda: run(served.address, *arguments)
+            )
+            nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(body)
+
+
+class StatusTest(testtools.TestCase):
+    def test_people_read_a_table(self):
+        result = run_against(answer(msgspec.json.encode(build_status())))
+        self.assertEqual(0, result.exit_code, result.output)
+        for expected in (
+            "VM vm-0 of atlas in ain-sebaa: serving, 3 requests in flight",
+            "configuration: version 7, digest cae66941",
+            "vm-1  127.0.0.2  hay-riad  live   6",
+            "service reservations revision 1: floor 14, 2 waiting, "
+            "homes vm-0, vm-1",
+        ):
+            self.assertIn(expected, result.output.splitlines())
+        line = next(
+            line
+            for line in result.output.splitlines()
+            if line.startswith("res-1 ")
+        )
+        self.assertEqual(
+            ["127.0.1.2:9000", "hay-riad", "ejected", "7.2", "0%"],
+            line.split()[1:6],
+        )
+        self.assertTrue(line.endswith("stalled on three VMs"))
+
+    def test_programs_read_json(self):
+        built = build_status()
+        result = run_against(answer(msgspec.json.encode(built)), "--json")
+        self.assertEqual(built, msgspec.json.decode(result.output))
+
+    def test_one_service_can_be_chosen(self):
+        content = answer(msgspec.json.encode(build_status()))
+        result = run_against(content, "--service", "reservations")
+        self.assertEqual(0, result.exit_code)
+        result = run_against(content, "--service", "other")
+        self.assertEqual(2, result.exit_code)
+        self.assertIn("UnknownService", result.stderr)
+
+    def test_a_vm_that_does_not_answer_as_agreed_ends_with_1(self):
+        result = run(CLOSED_ADDRESS)
+        self.assertEqual(1, result.exit_code)
+        self.assertIn("Unreachable", result.stderr)
+        for content, fault in (
+            (answer(b"", 404), "Refused"),
+            (answer(b"{}"), "BadAnswer"),
+            (b"garbage", "Unreachable"),
+        ):
+            result = run_against(content)
+            self.assertEqual(1, result.exit_code)
+            self.assertIn(fault, result.stderr)
+            self.assertIsInstance(result.exception, SystemExit)
+
+    def test_an_address_that_is_none_ends_with_2(self):
+        for address in ("localhost:80", "127.0.0.1", "127.0.0.1:0"):
+            self.assertEqual(2, run(address).exit_code)
