Let VMs find each other and spread configuration

Cause: each VM followed the store alone, so an outage of the store reached every VM and none knew which others were alive.

Change: add the wire format between VMs (keyed tag, replay window, bounded msgpack forms), membership by probes and gossip, the version spread with its bounded start, the choice of store watchers, the exchange of evidence, and one thin transport: datagrams by trio, pulls by pynng. All but transport, follower and node is pure.

Conclusion: the protocol objects hold under cuts, pauses and replacement.

--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/members.py
@@ -0,0 +1,145 @@
+"""Merges what is heard of each VM into one table.
+
+Of two entries of one VM the newer incarnation wins, then the higher counter,
+then the worse liveness; so the order of arrival does not matter. Only the VM
+itself raises its counter, which is how it refutes a suspicion.
+"""
+
+import enum
+import typing
+
+from primrosemill.fleet import messages
+
+TOMBSTONE_AGE = 600.0  # seconds that a VM that is gone stays in the table
+
+
+class State(enum.StrEnum):
+    """What this VM does with another one."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"  # Still used; it has a while to answer.
+    LEAVING = "leaving"  # Serves old answers; is named in no new one.
+    GONE = "gone"
+
+
+class Member(typing.NamedTuple):
+    """A VM with its latest entry; ``since`` is when that arrived."""
+
+    entry: messages.Entry
+    since: float
+    listed_leaving: bool = False
+
+    @property
+    def state(self) -> State:
+        """Return the state that routing and address answers use."""
+        if self.entry.liveness is messages.Liveness.GONE:
+            return State.GONE
+        if self.entry.leaving or self.listed_leaving:
+            return State.LEAVING
+        if self.entry.liveness is messages.Liveness.SUSPECT:
+            return State.SUSPECT
+        return State.LIVE
+
+
+def _precedence(entry: messages.Entry) -> tuple[int, int, int]:
+    return entry.incarnation, entry.counter, entry.liveness
+
+
+class MemberTable:
+    """Holds the members other than this VM, by id."""
+
+    def __init__(self) -> None:
+        self.members_by_id: dict[str, Member] = {}
+        self.present_by_id: dict[str, messages.Entry] = {}
+        self.suspect_ids: set[str] = set()
+        self._ids_by_address: dict[tuple[str, int], str] = {}
+
+    def merge(self, entry: messages.Entry, now: float) -> bool:
+        """Take an entry if it is newer than what is known."""
+        known = self.members_by_id.get(entry.vm_id)
+        if known is not None and (
+            _precedence(entry) <= _precedence(known.entry)
+        ):
+            return False
+        listed_leaving = (
+            known is not None
+            and known.listed_leaving
+            and known.entry.incarnation == entry.incarnation
+        )
+        self._keep(Member(entry, now, listed_leaving))
+        self._replace_at_address(entry, now)
+        return True
+
+    def _replace_at_address(self, entry: messages.Entry, now: float) -> None:
+        """Hold a VM gone once a later one answers at its address."""
+        address = (entry.ip, entry.port)
+        if entry.liveness is messages.Liveness.GONE:
+            return
+        holder_id = self._ids_by_address.get(address)
+        self._ids_by_address[address] = entry.vm_id
+        if holder_id is None or holder_id == entry.vm_id:
+            return
+        holder = self.members_by_id.get(holder_id)
+        if holder is None:
+            return
+        if (holder.entry.ip, holder.entry.port) != address:
+            return
+        if holder.entry.incarnation > entry.incarnation:
+            self._ids_by_address[address] = holder_id
+            self.mark_gone(entry.vm_id, now)
+            return
+        self.mark_gone(holder_id, now)
+
+    def mark_gone(self, vm_id: str, now: float) -> messages.Entry | None:
+        """Hold a VM gone; returns the new entry if that is news."""
+        return self._mark(vm_id, messages.Liveness.GONE, now)
+
+    def mark_suspect(self, vm_id: str, now: float) -> messages.Entry | None:
+        """Suspect a VM; returns the new entry if that is news."""
+        return self._mark(vm_id, messages.Liveness.SUSPECT, now)
+
+    def _mark(
+        self, vm_id: str, liveness: messages.Liveness, now: float
+    ) -> messages.Entry | None:
+        member = self.members_by_id.get(vm_id)
+        if member is None or member.entry.liveness >= liveness:
+            return None
+        entry = member.entry._replace(liveness=liveness)
+        self._keep(member._replace(entry=entry, since=now))
+        return entry
+
+    def _keep(self, member: Member) -> None:
+        """Store a member, and index it so that ticks need no full scan."""
+        vm_id = member.entry.vm_id
+        self.members_by_id[vm_id] = member
+        self.suspect_ids.discard(vm_id)
+        if member.entry.liveness is messages.Liveness.GONE:
+            self.present_by_id.pop(vm_id, None)
+            return
+        self.present_by_id[vm_id] = member.entry
+        if member.entry.liveness is messages.Liveness.SUSPECT:
+            self.suspect_ids.add(vm_id)
+
+    def set_listed_leaving(self, vm_id: str) -> None:
+        """Note that the VM list has turned to calling a VM leaving."""
+        member = self.members_by_id.get(vm_id)
+        if member is not None:
+            self.members_by_id[vm_id] = member._replace(listed_leaving=True)
+
+    def restart_clocks(self, now: float) -> None:
+        """Give every suspect its whole time again."""
+        for vm_id in self.suspect_ids:
+            member = self.members_by_id[vm_id]
+            self.members_by_id[vm_id] = member._replace(since=now)
+
+    def forget_old(self, now: float) -> None:
+        """Drop the VMs that have been gone for long."""
+        for vm_id, member in list(self.members_by_id.items()):
+            if member.state is not State.GONE:
+                continue
+            if now - member.since < TOMBSTONE_AGE:
+                continue
+            del self.members_by_id[vm_id]
+            address = (member.entry.ip, member.entry.port)
+            if self._ids_by_address.get(address) == vm_id:
+                del self._ids_by_address[address]
--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -0,0 +1,397 @@
+"""Decides which VMs are live, from probes, gossip, the VM list and settings.
+
+Each VM probes one other in each interval, asks others to probe it where no
+answer came, and passes on what changed with every message, as SWIM (Das,
+Gupta and Motivala, 2002) does; docs/design/membership.md gives the reasons.
+The object is pure: messages, facts and the time in seconds go in, and
+messages to send come out.
+"""
+
+import random
+import typing
+
+from primrosemill.fleet import dissemination
+from primrosemill.fleet import members
+from primrosemill.fleet import messages
+
+PROBE_INTERVAL = 0.2  # seconds
+DIRECT_TIMEOUT = 0.2  # seconds
+PROBE_TIMEOUT = 0.6  # seconds, the probes by other VMs included
+SUSPICION_TIMEOUT = 1.5  # seconds
+REJOIN_INTERVAL = 1.0  # seconds
+PAUSE = 1.0  # seconds without a tick after which this VM doubts itself
+SILENCE = 1.0  # seconds without a message after which it does, too
+LONGEST_SILENCE = 3.0  # seconds after which silence is believed
+HELPERS = 3
+JOIN_PEERS = 4  # addresses that a VM which knows nobody pings at once
+
+
+class Outgoing(typing.NamedTuple):
+    """A message and the address it goes to."""
+
+    ip: str
+    port: int
+    message: messages.Message
+
+
+class Peer(typing.NamedTuple):
+    """An address where a VM of the fleet may answer."""
+
+    ip: str
+    port: int
+
+
+class ListedPeer(typing.NamedTuple):
+    """A VM as the VM list gives it."""
+
+    vm_id: str
+    peer: Peer
+    leaving: bool
+
+
+class _Probe(typing.NamedTuple):
+    target: messages.Entry
+    sent: float
+    helped: bool
+
+
+class _Relay(typing.NamedTuple):
+    requester: messages.Entry
+    nonce: int
+    sent: float
+
+
+class Membership:
+    """The view that one VM has of its fleet."""
+
+    def __init__(
+        self,
+        own: messages.Entry,
+        first_peers: tuple[Peer, ...],
+        generator: random.Random,
+        now: float,
+    ) -> None:
+        self.own = own
+        self.version = messages.VersionInForce(0, b"")
+        self.table = members.MemberTable()
+        self._first_peers = first_peers
+        self._listed_by_id: dict[str, ListedPeer] = {}
+        self._generator = generator
+        self._changes = dissemination.Dissemination()
+        self._nonce = generator.getrandbits(32)
+        self._probes_by_nonce: dict[int, _Probe] = {}
+        self._relays_by_nonce: dict[int, _Relay] = {}
+        self._round: list[str] = []
+        self._next_probe = now
+        self._next_rejoin = now
+        self._last_tick = now
+        self._last_heard = now
+        self._awake_since = now
+        self._changes.add(own)
+
+    def state_of(self, vm_id: str) -> members.State:
+        """Return the state of a VM; one never heard of is gone."""
+        if vm_id == self.own.vm_id:
+            leaving = self.own.leaving
+            return members.State.LEAVING if leaving else members.State.LIVE
+        member = self.table.members_by_id.get(vm_id)
+        return members.State.GONE if member is None else member.state
+
+    def entries(self) -> list[messages.Entry]:
+        """Return this VM's entry and those of all VMs that are not gone."""
+        return [self.own, *self.table.present_by_id.values()]
+
+    def usable_ids(self) -> list[str]:
+        """Return the VMs that new work and address answers may name."""
+        usable = (members.State.LIVE, members.State.SUSPECT)
+        ids = [] if self.own.leaving else [self.own.vm_id]
+        for vm_id, member in self.table.members_by_id.items():
+            if member.state in usable:
+                ids.append(vm_id)
+        return sorted(ids)
+
+    def announce_leaving(self) -> list[Outgoing]:
+        """Tell the fleet that this VM leaves; some VMs hear it at once."""
+        self._update_own(leaving=True)
+        return self._ping_some(2 * HELPERS)
+
+    def announce_gone(self) -> list[Outgoing]:
+        """Tell the fleet that this process ends now."""
+        self._update_own(liveness=messages.Liveness.GONE)
+        return self._ping_some(2 * HELPERS)
+
+    def announce_version(self, count: int) -> list[Outgoing]:
+        """Tell some VMs, chosen at random, of the version in force."""
+        return self._ping_some(count)
+
+    def set_watching(self, watching: bool) -> None:
+        """Tell the fleet whether this VM holds a working watch."""
+        if watching != self.own.watching:
+            self._update_own(watching=watching)
+
+    def set_listed(self, listed: typing.Iterable[ListedPeer]) -> None:
+        """Take a new reading of the VM list, which lags.
+
+        Its word that a VM is leaving counts against the process that runs
+        at the time of the change only, so that a late list does not take
+        out the next process of that VM.
+        """
+        before = self._listed_by_id
+        self._listed_by_id = {each.vm_id: each for each in listed}
+        for vm_id, each in self._listed_by_id.items():
+            was_leaving = vm_id in before and before[vm_id].leaving
+            if each.leaving and not was_leaving:
+                self.table.set_listed_leaving(vm_id)
+
+    def merge(
+        self, entries: typing.Iterable[messages.Entry], now: float
+    ) -> None:
+        """Take entries from a message and pass on those that are news."""
+        for entry in entries:
+            if entry.vm_id == self.own.vm_id:
+                self._defend(entry)
+                continue
+            if self.table.merge(entry, now):
+                self._changes.add(entry)
+
+    def merge_table(
+        self, entries: typing.Iterable[messages.Entry], now: float
+    ) -> None:
+        """Take another VM's table, which the fleet knows already."""
+        for entry in entries:
+            if entry.vm_id == self.own.vm_id:
+                self._defend(entry)
+                continue
+            self.table.merge(entry, now)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Send the probes that are due and judge those without answer."""
+        self._note_pause(now)
+        outgoing: list[Outgoing] = []
+        self._expire_suspects(now)
+        self._check_probes(now, outgoing)
+        if now >= self._next_probe:
+            self._next_probe = now + PROBE_INTERVAL
+            self._probe_next(now, outgoing)
+        if now >= self._next_rejoin:
+            self._next_rejoin = now + REJOIN_INTERVAL
+            self.table.forget_old(now)
+            self._ping_absent(outgoing)
+        return outgoing
+
+    def receive(self, message: messages.Message, now: float) -> list[Outgoing]:
+        """Handle one message of the membership kinds."""
+        self._last_heard = now
+        if isinstance(message, messages.Ping):
+            return self._receive_ping(message, now)
+        if isinstance(message, messages.Ack):
+            return self._receive_ack(message, now)
+        if isinstance(message, messages.ProbeRequest):
+            return self._receive_request(message, now)
+        if isinstance(message, messages.ProbeResult):
+            self._probes_by_nonce.pop(message.nonce, None)
+        return []
+
+    def _receive_ping(self, ping: messages.Ping, now: float) -> list[Outgoing]:
+        if ping.target_id == self.own.vm_id and (
+            ping.believed_incarnation > self.own.incarnation
+        ):
+            self._update_own(incarnation=ping.believed_incarnation + 1)
+        self.merge((ping.sender, *ping.entries), now)
+        changes = self._take_changes()
+        doubted = self.table.members_by_id.get(ping.sender.vm_id)
+        if doubted is not None and doubted.entry != ping.sender:
+            # The sender is held suspect or gone; it can refute that now.
+            changes = (doubted.entry, *changes)
+        ack = messages.Ack(ping.nonce, self.own, self.version, changes)
+        return [Outgoing(ping.sender.ip, ping.sender.port, ack)]
+
+    def _receive_ack(self, ack: messages.Ack, now: float) -> list[Outgoing]:
+        self.merge((ack.sender, *ack.entries), now)
+        probe = self._probes_by_nonce.pop(ack.nonce, None)
+        if probe is not None and probe.target.vm_id != ack.sender.vm_id:
+            self._pass_on(self.table.mark_gone(probe.target.vm_id, now))
+        relay = self._relays_by_nonce.pop(ack.nonce, None)
+        if relay is None:
+            return []
+        result = messages.ProbeResult(
+            relay.nonce, ack.sender.vm_id, ack.sender.incarnation
+        )
+        requester = relay.requester
+        return [Outgoing(requester.ip, requester.port, result)]
+
+    def _receive_request(
+        self, request: messages.ProbeRequest, now: float
+    ) -> list[Outgoing]:
+        self.merge((request.sender,), now)
+        nonce = self._new_nonce()
+        self._relays_by_nonce[nonce] = _Relay(
+            request.sender, request.nonce, now
+        )
+        return [self._ping(request.target, nonce)]
+
+    def _update_own(self, **changes: typing.Any) -> None:
+        counter = self.own.counter + 1
+        self.own = self.own._replace(counter=counter, **changes)
+        self._changes.add(self.own)
+
+    def _defend(self, heard: messages.Entry) -> None:
+        """Refute what others say of this VM where it is wrong.
+
+        A newer incarnation under this id can only come from a clock that
+        was set back, as no two processes of one VM run at once.
+        """
+        if self.own.liveness is messages.Liveness.GONE:
+            return
+        if heard.incarnation > self.own.incarnation:
+            self._update_own(incarnation=heard.incarnation + 1)
+            return
+        if heard.incarnation < self.own.incarnation:
+            return
+        if heard.counter > self.own.counter:
+            self.own = self.own._replace(counter=heard.counter)
+            self._update_own()
+        elif heard.counter == self.own.counter and heard != self.own:
+            self._update_own()
+
+    def _note_pause(self, now: float) -> None:
+        """Drop what was measured across a pause of this process."""
+        if now - self._last_tick > PAUSE:
+            self._probes_by_nonce.clear()
+            self._relays_by_nonce.clear()
+            self.table.restart_clocks(now)
+            self._awake_since = now
+            self._last_heard = now
+        self._last_tick = now
+
+    def _doubts_itself(self, now: float) -> bool:
+        if now - self._awake_since < PROBE_TIMEOUT:
+            return True
+        if len(self.table.present_by_id) < 2:
+            return False
+        return SILENCE < now - self._last_heard < LONGEST_SILENCE
+
+    def _expire_suspects(self, now: float) -> None:
+        if self._doubts_itself(now):
+            return
+        for vm_id in sorted(self.table.suspect_ids):
+            member = self.table.members_by_id[vm_id]
+            if now - member.since >= SUSPICION_TIMEOUT:
+                self._pass_on(self.table.mark_gone(vm_id, now))
+
+    def _check_probes(self, now: float, outgoing: list[Outgoing]) -> None:
+        for nonce, probe in list(self._probes_by_nonce.items()):
+            waited = now - probe.sent
+            if waited >= PROBE_TIMEOUT:
+                del self._probes_by_nonce[nonce]
+                self._suspect(probe.target, now)
+            elif waited >= DIRECT_TIMEOUT and not probe.helped:
+                self._probes_by_nonce[nonce] = probe._replace(helped=True)
+                self._ask_helpers(nonce, probe.target, outgoing)
+        for nonce, relay in list(self._relays_by_nonce.items()):
+            if now - relay.sent >= PROBE_TIMEOUT:
+                del self._relays_by_nonce[nonce]
+
+    def _suspect(self, target: messages.Entry, now: float) -> None:
+        if self._doubts_itself(now):
+            return
+        member = self.table.members_by_id.get(target.vm_id)
+        if member is None or member.entry.incarnation != target.incarnation:
+            return
+        self._pass_on(self.table.mark_suspect(target.vm_id, now))
+
+    def _pass_on(self, entry: messages.Entry | None) -> None:
+        if entry is not None:
+            self._changes.add(entry)
+
+    def _ask_helpers(
+        self, nonce: int, target: messages.Entry, outgoing: list[Outgoing]
+    ) -> None:
+        candidates = [
+            entry
+            for vm_id, entry in self.table.present_by_id.items()
+            if vm_id != target.vm_id and vm_id not in self.table.suspect_ids
+        ]
+        count = min(HELPERS, len(candidates))
+        request = messages.ProbeRequest(nonce, target, self.own)
+        for helper in self._generator.sample(candidates, count):
+            outgoing.append(Outgoing(helper.ip, helper.port, request))
+
+    def _probe_next(self, now: float, outgoing: list[Outgoing]) -> None:
+        """Probe every VM once in a round, in a new order each round."""
+        while True:
+            if not self._round:
+                self._round = list(self.table.present_by_id)
+                self._generator.shuffle(self._round)
+                if not self._round:
+                    return
+            member = self.table.members_by_id.get(self._round.pop())
+            if member is None or member.state is members.State.GONE:
+                continue
+            nonce = self._new_nonce()
+            self._probes_by_nonce[nonce] = _Probe(member.entry, now, False)
+            outgoing.append(self._ping(member.entry, nonce))
+            return
+
+    def _ping_absent(self, outgoing: list[Outgoing]) -> None:
+        """Ping one address that should answer but is not in the view.
+
+        This is how a VM joins, and how two parts of a fleet find each
+        other when a partition ends.
+        """
+        present_entries = self.table.present_by_id.values()
+        present = {Peer(each.ip, each.port) for each in present_entries}
+        present.add(Peer(self.own.ip, self.own.port))
+        absent = {
+            Peer(member.entry.ip, member.entry.port): member.entry
+            for member in self.table.members_by_id.values()
+            if member.state is members.State.GONE
+        }
+        known = [*self._first_peers]
+        known += [each.peer for each in self._listed_by_id.values()]
+        candidates = sorted({*absent, *known} - present)
+        count = 1 if present_entries else JOIN_PEERS
+        count = min(count, len(candidates))
+        for peer in self._generator.sample(candidates, count):
+            if peer in absent:
+                outgoing.append(self._ping(absent[peer], self._new_nonce()))
+                continue
+            message = self._ping_message("", 0, self._new_nonce())
+            outgoing.append(Outgoing(peer.ip, peer.port, message))
+
+    def _ping_some(self, count: int) -> list[Outgoing]:
+        present = list(self.table.present_by_id.values())
+        count = min(count, len(present))
+        return [
+            self._ping(entry, self._new_nonce())
+            for entry in self._generator.sample(present, count)
+        ]
+
+    def _ping(self, target: messages.Entry, nonce: int) -> Outgoing:
+        message = self._ping_message(target.vm_id, target.incarnation, nonce)
+        if target.liveness is not messages.Liveness.LIVE:
+            # The target can only refute what it hears.
+            others = [
+                each for each in message.entries if each.vm_id != target.vm_id
+            ]
+            message = message._replace(entries=(target, *others))
+        return Outgoing(target.ip, target.port, message)
+
+    def _ping_message(
+        self, target_id: str, incarnation: int, nonce: int
+    ) -> messages.Ping:
+        return messages.Ping(
+            nonce,
+            target_id,
+            incarnation,
+            self.own,
+            self.version,
+            self._take_changes(),
+        )
+
+    def _take_changes(self) -> tuple[messages.Entry, ...]:
+        return self._changes.take(len(self.table.members_by_id) + 1)
+
+    def _new_nonce(self) -> int:
+        self._nonce += 1
+        return self._nonce
--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -0,0 +1,173 @@
+"""Types of the messages between VMs; docs/design/wire.md describes them.
+
+They travel as msgpack arrays. Every length is bounded here, so that a decoded
+message is never larger than its type allows.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from primrosemill.decisions import evidence
+
+PROTOCOL_VERSION = 1
+LARGEST_INTEGER = 2**63 - 1
+
+Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Key = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=160)]
+Ip = typing.Annotated[str, msgspec.Meta(min_length=2, max_length=45)]
+Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_INTEGER)]
+Digest = typing.Annotated[bytes, msgspec.Meta(max_length=32)]
+Chunk = typing.Annotated[bytes, msgspec.Meta(max_length=65_536)]
+
+
+class Kind(enum.IntEnum):
+    """Number of each message form in the envelope."""
+
+    PING = 1
+    ACK = 2
+    PROBE_REQUEST = 3
+    PROBE_RESULT = 4
+    EVIDENCE = 5
+    PULL = 6
+    PULL_ANSWER = 7
+
+
+class Liveness(enum.IntEnum):
+    """What the fleet believes of a VM's process."""
+
+    LIVE = 0
+    SUSPECT = 1
+    GONE = 2
+
+
+class Entry(typing.NamedTuple):
+    """One VM as gossip describes it.
+
+    ``incarnation`` is new with every process; ``counter`` rises when the VM
+    itself changes its entry or refutes a suspicion. ``watching`` tells that
+    it holds a working watch on the store.
+    """
+
+    vm_id: Name
+    ip: Ip
+    port: Port
+    domain: Name
+    incarnation: Count
+    counter: Count
+    liveness: Liveness = Liveness.LIVE
+    leaving: bool = False
+    watching: bool = False
+
+
+Entries = typing.Annotated[tuple[Entry, ...], msgspec.Meta(max_length=16)]
+
+
+class VersionInForce(typing.NamedTuple):
+    """The configuration version of a VM and the digest of its index."""
+
+    number: Count
+    digest: Digest
+
+
+class Ping(typing.NamedTuple):
+    """Asks a VM for an answer and passes on what is new.
+
+    ``believed_incarnation`` is the target's as the sender knows it.
+    """
+
+    nonce: Count
+    target_id: str
+    believed_incarnation: Count
+    sender: Entry
+    version: VersionInForce
+    entries: Entries
+
+
+class Ack(typing.NamedTuple):
+    """Answers a ping with the same nonce."""
+
+    nonce: Count
+    sender: Entry
+    version: VersionInForce
+    entries: Entries
+
+
+class ProbeRequest(typing.NamedTuple):
+    """Asks a third VM to ping a target that gave no answer."""
+
+    nonce: Count
+    target: Entry
+    sender: Entry
+
+
+class ProbeResult(typing.NamedTuple):
+    """Reports that the target of a probe request answered."""
+
+    nonce: Count
+    target_id: Name
+    incarnation: Count
+
+
+class StampedReport(typing.NamedTuple):
+    """A report and when its evidence ended, in ms of the sender's clock."""
+
+    stamp: Count
+    report: evidence.Report
+
+
+class EvidenceBatch(typing.NamedTuple):
+    """Reports of one VM; the stamp tells when it was sent, in ms."""
+
+    stamp: Count
+    reports: typing.Annotated[
+        tuple[StampedReport, ...], msgspec.Meta(max_length=64)
+    ]
+
+
+class Want(typing.NamedTuple):
+    """Asks for the bytes of a value from an offset on."""
+
+    key: Key
+    offset: Count
+
+
+class Pull(typing.NamedTuple):
+    """Asks a VM for published values that it holds."""
+
+    nonce: Count
+    wants: typing.Annotated[tuple[Want, ...], msgspec.Meta(max_length=256)]
+
+
+class Piece(typing.NamedTuple):
+    """Some bytes of a value; a size of zero tells that it is not held."""
+
+    key: Key
+    offset: Count
+    size: Count
+    chunk: Chunk
+
+
+class PullAnswer(typing.NamedTuple):
+    """Answers the first wants of a pull, as many as one message holds."""
+
+    nonce: Count
+    version: VersionInForce
+    pieces: typing.Annotated[tuple[Piece, ...], msgspec.Meta(max_length=256)]
+
+
+Message = (
+    Ping | Ack | ProbeRequest | ProbeResult | EvidenceBatch | Pull | PullAnswer
+)
+
+KINDS_BY_TYPE: dict[type, Kind] = {
+    Ping: Kind.PING,
+    Ack: Kind.ACK,
+    ProbeRequest: Kind.PROBE_REQUEST,
+    ProbeResult: Kind.PROBE_RESULT,
+    EvidenceBatch: Kind.EVIDENCE,
+    Pull: Kind.PULL,
+    PullAnswer: Kind.PULL_ANSWER,
+}
--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -0,0 +1,264 @@
+"""Runs one VM's part in the fleet: sockets, timers and the pure objects."""
+
+import random
+import typing
+
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import evidence
+from primrosemill.fleet import evidence_exchange
+from primrosemill.fleet import follower
+from primrosemill.fleet import members
+from primrosemill.fleet import membership
+from primrosemill.fleet import messages
+from primrosemill.fleet import observations
+from primrosemill.fleet import spread
+from primrosemill.fleet import store_watch
+from primrosemill.fleet import transport
+from primrosemill.fleet import wire
+from primrosemill.platform import interfaces
+
+TICK = 0.1  # seconds
+TABLE_INTERVAL = 60.0  # seconds between pulls of a peer's table of members
+JOIN_STEP = 0.1  # seconds between looks for a first peer
+MILLISECONDS = 1_000
+
+HomesByService = typing.Callable[[], typing.Mapping[str, list[str]]]
+
+
+class Identity(typing.NamedTuple):
+    """Who this process is; the incarnation is its start in ms."""
+
+    fleet: str
+    vm_id: str
+    ip: str
+    port: int
+    domain: str
+    incarnation: int
+    secret: str = ""
+
+
+class Platform(typing.NamedTuple):
+    """What is read from the platform; the VM list may be absent."""
+
+    store: interfaces.Store
+    vm_list: interfaces.VmList | None = None
+    list_port: int = 0
+
+
+class Hooks(typing.NamedTuple):
+    """What the daemon plugs into the node."""
+
+    on_document: follower.DocumentHandler
+    homes_by_service: HomesByService = dict
+    observe: observations.Observer = observations.ignore
+
+
+class Node:
+    """One VM of the fleet."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        first_peers: tuple[membership.Peer, ...],
+        platform: Platform,
+        hooks: Hooks,
+        generator: random.Random,
+    ) -> None:
+        self._identity = identity
+        self._first_peers = first_peers
+        self._platform = platform
+        self._hooks = hooks
+        self._generator = generator
+        self._listed_size = 0
+        self._inbox = evidence_exchange.Inbox()
+        self._outbox: evidence_exchange.Outbox | None = None
+        self.membership: membership.Membership | None = None
+        self.spread: spread.Spread | None = None
+        self.follower: follower.Follower | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take part until cancelled; reports the port for peers."""
+        identity = self._identity
+        key = wire.derive_key(identity.secret)
+        self._sealer = wire.Sealer(
+            wire.Sender(identity.fleet, identity.vm_id, identity.incarnation),
+            key,
+        )
+        opener = wire.Opener(identity.fleet, identity.vm_id, key)
+        self._link = transport.Transport(
+            identity.ip, self._sealer, opener, self._observe_refusal
+        )
+        await self._link.bind(identity.port)
+        try:
+            self._start_objects()
+            async with trio.open_nursery() as nursery:
+                self._start_tasks(nursery)
+                task_status.started(self._link.port)
+        finally:
+            self._link.close()
+
+    def _start_objects(self) -> None:
+        now = trio.current_time()
+        identity = self._identity
+        own = messages.Entry(
+            identity.vm_id,
+            identity.ip,
+            self._link.port,
+            identity.domain,
+            identity.incarnation,
+            0,
+        )
+        self.membership = membership.Membership(
+            own, self._first_peers, self._generator, now
+        )
+        self.spread = spread.Spread(identity.fleet, self._generator, now)
+        self._outbox = evidence_exchange.Outbox(now)
+        self.follower = follower.Follower(
+            self.membership,
+            self.spread,
+            store_watch.StoreWatch(self._generator, now),
+            self._platform.store,
+            self._link,
+            self._hooks.observe,
+            self._hooks.on_document,
+        )
+        self.follower.expected_size = 1 + len(self._first_peers)
+
+    def _start_tasks(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._link.receive, self._handle)
+        nursery.start_soon(self._link.answer_pulls, self.follower.answer_pull)
+        nursery.start_soon(self._tick)
+        nursery.start_soon(self._join)
+        nursery.start_soon(self.follower.put_in_force)
+        nursery.start_soon(self.follower.follow_store)
+        nursery.start_soon(self.follower.follow_peers)
+        if self._platform.vm_list is not None:
+            nursery.start_soon(self._read_list)
+
+    def _observe_refusal(self, reason: wire.RefusalReason) -> None:
+        self._hooks.observe(observations.MessageRefused(reason))
+
+    async def wait_until_in_force(self) -> None:
+        """Return once a configuration is in force here."""
+        await self.follower.in_force.wait()
+
+    def document(self) -> documents.Document:
+        """Return the newest document that this VM has accepted."""
+        return self.spread.document
+
+    def put_report(self, report: evidence.Report) -> None:
+        """Take this VM's newest evidence on a service."""
+        self._outbox.put(report, self._stamp())
+
+    def reports(self, service: str) -> list[evidence.Report]:
+        """Return what the other home VMs report on a service."""
+        return self._inbox.reports(
+            service, self.membership.state_of, trio.current_time()
+        )
+
+    async def announce_leaving(self) -> None:
+        """Tell the fleet that this VM takes no new callers."""
+        await self._send_all(self.membership.announce_leaving())
+
+    async def announce_gone(self) -> None:
+        """Tell the fleet that this process ends now."""
+        await self._send_all(self.membership.announce_gone())
+
+    def _stamp(self) -> int:
+        return int(trio.current_time() * MILLISECONDS)
+
+    async def _send_all(self, outgoing: list[membership.Outgoing]) -> None:
+        self._sealer.sender = self._sealer.sender._replace(
+            incarnation=self.membership.own.incarnation
+        )
+        for each in outgoing:
+            await self._link.send(each.ip, each.port, each.message)
+
+    async def _handle(self, received: wire.Received) -> None:
+        message = received.message
+        if isinstance(message, messages.EvidenceBatch):
+            self._take_evidence(received, message)
+            return
+        outgoing = self.membership.receive(message, trio.current_time())
+        if isinstance(message, messages.Ping | messages.Ack):
+            self.follower.hear(received.sender_id, message.version)
+        await self._send_all(outgoing)
+
+    def _take_evidence(
+        self, received: wire.Received, batch: messages.EvidenceBatch
+    ) -> None:
+        sender_id = received.sender_id
+        member = self.membership.table.members_by_id.get(sender_id)
+        rejected = [evidence_exchange.RejectionReason.PEER_NOT_LIVE]
+        if member is not None:
+            rejected = self._inbox.take(
+                member.entry,
+                member.state,
+                received.incarnation,
+                batch,
+                trio.current_time(),
+            )
+        for reason in rejected:
+            self._hooks.observe(
+                observations.EvidenceRejected(sender_id, reason)
+            )
+
+    async def _tick(self) -> None:
+        while True:
+            await self._send_all(self.membership.tick(trio.current_time()))
+            await self._send_evidence()
+            await trio.sleep(TICK)
+
+    async def _send_evidence(self) -> None:
+        batches = self._outbox.take(
+            self._hooks.homes_by_service(),
+            trio.current_time(),
+            self._stamp(),
+        )
+        for batch in batches:
+            member = self.membership.table.members_by_id.get(batch.vm_id)
+            if member is None or member.state is members.State.GONE:
+                continue
+            await self._link.send(
+                member.entry.ip, member.entry.port, batch.message
+            )
+
+    async def _join(self) -> None:
+        """Learn the whole fleet from one peer, and again now and then."""
+        while True:
+            present = list(self.membership.table.present_by_id.values())
+            if not present:
+                await trio.sleep(JOIN_STEP)
+                continue
+            await self.follower.pull_members(self._generator.choice(present))
+            await trio.sleep(TABLE_INTERVAL * self._generator.uniform(0.5, 1))
+
+    async def _read_list(self) -> None:
+        while True:
+            result = await self._platform.vm_list.read()
+            if result.is_error():
+                self._hooks.observe(observations.StoreFailed(result.error))
+            else:
+                self._take_list(result.ok)
+            size = self.follower.fleet_size()
+            interval = store_watch.list_interval(size)
+            await trio.sleep(interval * self._generator.uniform(0.5, 1))
+
+    def _take_list(self, vms: tuple[interfaces.ListedVm, ...]) -> None:
+        port = self._platform.list_port or self._link.port
+        listed = [
+            membership.ListedPeer(
+                vm.id, membership.Peer(vm.ip, port), vm.leaving
+            )
+            for vm in vms
+        ]
+        self.membership.set_listed(listed)
+        self.follower.expected_size = max(
+            1 + len(self._first_peers), len(listed)
+        )
--- /dev/null
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -0,0 +1,72 @@
+"""Types of what a fleet node reports for counters, logs and operators."""
+
+import typing
+
+from primrosemill.configuration import faults
+from primrosemill.fleet import evidence_exchange
+from primrosemill.fleet import spread
+from primrosemill.fleet import wire
+from primrosemill.platform import interfaces
+
+
+class MessageRefused(typing.NamedTuple):
+    """A message from the network was dropped."""
+
+    reason: wire.RefusalReason
+
+
+class EvidenceRejected(typing.NamedTuple):
+    """A report of a peer was given no weight."""
+
+    vm_id: str
+    reason: evidence_exchange.RejectionReason
+
+
+class VersionAccepted(typing.NamedTuple):
+    """A newer version was checked and taken."""
+
+    version: int
+    source: spread.Source
+
+
+class VersionRefused(typing.NamedTuple):
+    """An offered version was not taken; the one in force stays."""
+
+    source: spread.Source
+    faults: tuple[faults.Fault, ...]
+
+
+class VersionConflict(typing.NamedTuple):
+    """A peer holds other content under the version in force here."""
+
+    vm_id: str
+    fault: faults.ConflictingVersion
+
+
+class StoreFailed(typing.NamedTuple):
+    """The store or the VM list gave no usable answer."""
+
+    fault: interfaces.PlatformFault
+
+
+class PullFailed(typing.NamedTuple):
+    """A peer did not hand over the version that it is said to hold."""
+
+    vm_id: str
+    version: int
+
+
+Observation = (
+    MessageRefused
+    | EvidenceRejected
+    | VersionAccepted
+    | VersionRefused
+    | VersionConflict
+    | StoreFailed
+    | PullFailed
+)
+Observer = typing.Callable[[Observation], None]
+
+
+def ignore(observation: Observation) -> None:
+    """Observe nothing."""
--- /dev/null
+++ b/tests/fleet/test_evidence_exchange.py
@@ -0,0 +1,137 @@
+import testtools
+
+from primrosemill.decisions import standings
+from primrosemill.fleet import evidence_exchange as exchanges
+from primrosemill.fleet import members
+from primrosemill.fleet import messages
+from primrosemill.fleet import wire
+from tests.builders import fleet as builders
+
+HOMES = {"reservations": ["vm-2"]}
+Reason = exchanges.RejectionReason
+LIVE = members.State.LIVE
+
+
+def healthy(number, score=0.0):
+    return builders.instance_evidence(
+        number, score=score, state=standings.State.IN_ROTATION
+    )
+
+
+class OutboxTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.outbox = exchanges.Outbox(0.0)
+
+    def put(self, *instances):
+        self.outbox.put(builders.report(*instances), 0)
+
+    def take(self, now):
+        sent = []
+        for batch in self.outbox.take(HOMES, now, int(now * 1_000)):
+            for stamped in batch.message.reports:
+                sent += [each.instance_id for each in stamped.report.instances]
+        return sent
+
+    def test_healthy_instances_cost_nothing(self):
+        self.put(*(healthy(number) for number in range(20)))
+        self.assertEqual([], self.take(0.0))
+
+    def test_a_change_is_sent_once_and_repeated_while_it_matters(self):
+        self.put(builders.instance_evidence(3))
+        self.assertEqual(["res-3"], self.take(0.0))
+        self.assertEqual([], self.take(1.0))
+        self.assertEqual(["res-3"], self.take(3.0))
+        self.put(healthy(3))
+        self.assertEqual(["res-3"], self.take(4.0))
+        self.assertEqual([], self.take(9.0))
+
+    def test_a_drain_sign_does_not_wait(self):
+        self.put(builders.instance_evidence(3))
+        self.take(0.0)
+        self.put(builders.instance_evidence(4, draining=True))
+        self.assertEqual(["res-4"], self.take(0.01))
+
+    def test_the_worst_come_first_within_the_byte_budget(self):
+        instances = [
+            builders.instance_evidence(number, score=float(number + 1))
+            for number in range(400)
+        ]
+        self.put(*instances)
+        sealer = builders.sealer()
+        total = 0
+        now = 0.0
+        first = self.outbox.take(HOMES, now, 0)[0]
+        worst = first.message.reports[0].report.instances[0]
+        self.assertEqual("res-399", worst.instance_id)
+        while now < 60.0:
+            now += 0.5
+            for batch in self.outbox.take(HOMES, now, int(now * 1_000)):
+                sealed = sealer.seal(batch.message)
+                self.assertLess(len(sealed), wire.DATAGRAM_SIZE_LIMIT)
+                total += len(sealed)
+        self.assertLess(total / now, 1.5 * exchanges.BYTE_RATE)
+
+
+class InboxTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.inbox = exchanges.Inbox()
+        self.sender = builders.entry(1)
+
+    def take(self, now, sent, measured=None, **changes):
+        stamp = int(sent * 1_000)
+        measured = stamp if measured is None else int(measured * 1_000)
+        report = builders.report()._replace(**changes)
+        batch = messages.EvidenceBatch(
+            stamp, (messages.StampedReport(measured, report),)
+        )
+        return self.inbox.take(self.sender, LIVE, 1, batch, now)
+
+    def reports(self, now, state=LIVE):
+        return self.inbox.reports("reservations", lambda _: state, now)
+
+    def test_a_report_has_weight_for_a_while(self):
+        self.assertEqual([], self.take(50.0, 7.0))
+        self.assertEqual([builders.report()], self.reports(52.0))
+        self.assertEqual([], self.reports(50.0 + exchanges.EVIDENCE_AGE))
+
+    def test_what_a_paused_peer_measured_before_has_no_weight(self):
+        self.take(50.0, 7.0)
+        found = self.take(80.0, 37.0, measured=8.0)
+        self.assertEqual([Reason.OLD_EVIDENCE], found)
+        self.assertEqual([], self.reports(80.0))
+
+    def test_a_message_that_the_network_held_back_has_no_weight(self):
+        self.take(50.0, 7.0)
+        found = self.take(80.0, 9.0)
+        self.assertEqual([Reason.OLD_EVIDENCE], found)
+
+    def test_a_peer_that_is_gone_or_replaced_has_no_weight(self):
+        batch = messages.EvidenceBatch(0, ())
+        gone = self.inbox.take(self.sender, members.State.GONE, 1, batch, 1.0)
+        self.assertEqual([Reason.PEER_NOT_LIVE], gone)
+        other = self.inbox.take(self.sender, LIVE, 2, batch, 1.0)
+        self.assertEqual([Reason.OTHER_INCARNATION], other)
+        self.take(50.0, 7.0)
+        self.assertEqual([], self.reports(50.0, members.State.GONE))
+
+    def test_a_peer_reports_in_its_own_name_only(self):
+        found = self.take(50.0, 7.0, vm_id="vm-9")
+        self.assertEqual([Reason.WRONG_REPORTER], found)
+
+    def test_an_overtaken_report_does_not_replace_a_newer_one(self):
+        self.take(50.0, 7.0)
+        newer = builders.report(healthy(0))
+        self.take(51.0, 8.0, instances=newer.instances)
+        self.take(51.1, 8.1, measured=7.5)
+        self.assertEqual([newer], self.reports(52.0))
+
+
+class WrongVersionTest(testtools.TestCase):
+    def test_a_batch_of_another_protocol_version_is_refused(self):
+        batch = messages.EvidenceBatch(0, ())
+        sealed = builders.sealer().seal(batch)
+        data = b"\x09" + sealed[1:]
+        refusal = builders.opener().open(data).error
+        self.assertEqual(wire.RefusalReason.WRONG_PROTOCOL, refusal)
--- /dev/null
+++ b/tests/fleet/test_membership.py
@@ -0,0 +1,175 @@
+import random
+
+import testtools
+
+from primrosemill.fleet import members
+from primrosemill.fleet import membership
+from primrosemill.fleet import messages
+from tests.builders import fleet as builders
+
+State = members.State
+COUNT = 12
+LINGER_LIMIT = 5.0  # seconds
+
+
+class MembershipTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.network = builders.network(COUNT)
+
+    def states(self, vm_id):
+        return {
+            node.membership.state_of(vm_id)
+            for other_id, node in self.network.nodes_by_id.items()
+            if other_id != vm_id
+        }
+
+    def assert_all_live(self):
+        for number in range(COUNT):
+            self.assertEqual({State.LIVE}, self.states(builders.vm_id(number)))
+
+    def test_all_find_each_other_from_one_first_peer(self):
+        self.assert_all_live()
+
+    def test_a_dead_vm_does_not_linger(self):
+        self.network.remove("vm-3")
+        self.network.run(LINGER_LIMIT)
+        self.assertEqual({State.GONE}, self.states("vm-3"))
+
+    def test_a_whole_domain_that_dies_does_not_linger(self):
+        dead = [builders.vm_id(number) for number in range(0, COUNT, 3)]
+        for vm_id in dead:
+            self.network.remove(vm_id)
+        self.network.run(LINGER_LIMIT)
+        for vm_id in dead:
+            self.assertEqual({State.GONE}, self.states(vm_id))
+        self.assertEqual({State.LIVE}, self.states("vm-1"))
+
+    def test_a_one_way_cut_makes_nobody_vanish(self):
+        self.network.cut_pairs.add(("vm-1", "vm-2"))
+        for _ in range(100):
+            self.network.run(0.2)
+            self.assertNotIn(State.GONE, self.states("vm-1"))
+            self.assertNotIn(State.GONE, self.states("vm-2"))
+
+    def test_a_vm_that_hears_nobody_makes_nobody_vanish(self):
+        for number in range(COUNT):
+            self.network.cut_pairs.add((builders.vm_id(number), "vm-5"))
+        others = [node for node in self.network.nodes_by_id if node != "vm-5"]
+        for _ in range(100):
+            self.network.run(0.1)
+            for vm_id in others:
+                view = self.network.nodes_by_id["vm-1"].membership
+                self.assertIsNot(State.GONE, view.state_of(vm_id))
+
+    def test_a_vm_paused_briefly_is_live_after_it_wakes(self):
+        self.network.paused_ids.add("vm-4")
+        self.network.run(1.5)
+        self.network.paused_ids.clear()
+        self.network.run(2.0)
+        self.assert_all_live()
+
+    def test_a_vm_paused_for_long_goes_and_comes_back(self):
+        self.network.paused_ids.add("vm-4")
+        self.network.run(30.0)
+        self.assertEqual({State.GONE}, self.states("vm-4"))
+        self.network.paused_ids.clear()
+        for _ in range(50):
+            self.network.run(0.1)
+            for number in (0, 1, 2, 3, 5):
+                states = self.states(builders.vm_id(number))
+                self.assertNotIn(State.GONE, states)
+        self.assert_all_live()
+
+    def test_two_parts_find_each_other_when_a_partition_ends(self):
+        low = [builders.vm_id(number) for number in range(6)]
+        high = [builders.vm_id(number) for number in range(6, COUNT)]
+        cuts = {(a, b) for a in low for b in high}
+        cuts |= {(b, a) for a, b in cuts}
+        self.network.cut_pairs |= cuts
+        self.network.run(60.0)
+        view = self.network.nodes_by_id["vm-0"].membership
+        self.assertEqual(low, sorted(view.usable_ids()))
+        self.network.cut_pairs.clear()
+        self.network.run(10.0)
+        self.assert_all_live()
+
+    def test_a_replaced_process_is_a_new_incarnation(self):
+        first = (membership.Peer(builders.ip(0), builders.PORT),)
+        ip, domain = builders.ip(3), builders.entry(3).domain
+        self.network.add("vm-3", ip, domain, first, incarnation=2)
+        self.network.run(LINGER_LIMIT)
+        self.assert_all_live()
+        view = self.network.nodes_by_id["vm-7"].membership
+        held = view.table.members_by_id["vm-3"].entry
+        self.assertEqual(2, held.incarnation)
+
+    def test_a_process_whose_clock_was_set_back_is_taken(self):
+        first = (membership.Peer(builders.ip(0), builders.PORT),)
+        ip, domain = builders.ip(3), builders.entry(3).domain
+        self.network.add("vm-3", ip, domain, first, incarnation=0)
+        self.network.run(LINGER_LIMIT)
+        self.assert_all_live()
+
+    def test_another_vm_at_an_address_replaces_the_one_before(self):
+        first = (membership.Peer(builders.ip(0), builders.PORT),)
+        self.network.remove("vm-3")
+        self.network.add(
+            "vm-new", builders.ip(3), "hay-riad", first, incarnation=2
+        )
+        self.network.run(3.0)
+        self.assertEqual({State.GONE}, self.states("vm-3"))
+        self.assertEqual({State.LIVE}, self.states("vm-new"))
+
+    def test_leaving_is_known_within_two_seconds(self):
+        view = self.network.nodes_by_id["vm-2"].membership
+        self.network.send("vm-2", view.announce_leaving())
+        self.network.run(2.0)
+        self.assertEqual({State.LEAVING}, self.states("vm-2"))
+        self.assertNotIn("vm-2", view.usable_ids())
+
+    def test_the_end_of_a_process_is_known_within_two_seconds(self):
+        view = self.network.nodes_by_id["vm-2"].membership
+        self.network.send("vm-2", view.announce_gone())
+        self.network.remove("vm-2")
+        self.network.run(2.0)
+        self.assertEqual({State.GONE}, self.states("vm-2"))
+
+
+class VmListTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.view = membership.Membership(
+            builders.entry(0), (), random.Random(1), 0.0
+        )
+
+    def listed(self, number, leaving=False):
+        peer = membership.Peer(builders.ip(number), builders.PORT)
+        return membership.ListedPeer(builders.vm_id(number), peer, leaving)
+
+    def test_a_listed_vm_is_pinged_and_not_live_before_it_answers(self):
+        self.view.set_listed([self.listed(1)])
+        sent = self.view.tick(0.1)
+        self.assertEqual([builders.ip(1)], [each.ip for each in sent])
+        self.assertIs(State.GONE, self.view.state_of("vm-1"))
+
+    def test_a_vm_missing_from_the_list_stays_live(self):
+        self.view.receive(builders.ping(1), 0.0)
+        self.view.set_listed([])
+        self.assertIs(State.LIVE, self.view.state_of("vm-1"))
+
+    def test_a_late_list_does_not_take_out_the_next_process(self):
+        self.view.receive(builders.ping(1), 0.0)
+        self.view.set_listed([self.listed(1, leaving=True)])
+        self.assertIs(State.LEAVING, self.view.state_of("vm-1"))
+        entry = builders.entry(1, incarnation=2)
+        self.view.receive(builders.ping(1, sender=entry), 60.0)
+        self.view.set_listed([self.listed(1, leaving=True)])
+        self.assertIs(State.LIVE, self.view.state_of("vm-1"))
+
+    def test_an_old_entry_brings_no_dead_vm_back(self):
+        alive = builders.entry(1)
+        gone = alive._replace(liveness=messages.Liveness.GONE)
+        self.view.merge([alive, gone], 0.0)
+        self.view.merge([alive], 1.0)
+        self.assertIs(State.GONE, self.view.state_of("vm-1"))
