Wire the fleet into the daemon in place of the store follower

Cause: the daemon read the store alone and knew no other VM.

Change: proxy/peers.py joins a VM to its fleet by its settings, logs and counts what the node observes, and takes the place of the follower; leaving is announced at the start of a stop and the end of the process after it. A VM that knows of nobody to ask does not wait for peers.

--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -103,6 +103,7 @@
                 self._observe(observations.StoreFailed(result.error))
                 self._watch.note_failure(trio.current_time())
                 return
+            self._observe(observations.StoreAnswered())
             if result.ok is not None:
                 known = values.digest(result.ok)
                 if not await self._take_from_store(result.ok):
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -36,7 +36,7 @@
     port: int
     domain: str
     incarnation: int
-    secret: str = ""
+    secret: bytes = b""
 
 
 class Platform(typing.NamedTuple):
@@ -71,7 +71,6 @@
         self._platform = platform
         self._hooks = hooks
         self._generator = generator
-        self._listed_size = 0
         self._inbox = evidence_exchange.Inbox()
         self._outbox: evidence_exchange.Outbox | None = None
         self.membership: membership.Membership | None = None
@@ -118,6 +117,9 @@
             own, self._first_peers, self._generator, now
         )
         self.spread = spread.Spread(identity.fleet, self._generator, now)
+        self.spread.peers_expected = (
+            bool(self._first_peers) or self._platform.vm_list is not None
+        )
         self._outbox = evidence_exchange.Outbox(now)
         self.follower = follower.Follower(
             self.membership,
@@ -259,6 +261,8 @@
             for vm in vms
         ]
         self.membership.set_listed(listed)
+        others = any(vm.id != self._identity.vm_id for vm in vms)
+        self.spread.peers_expected = bool(self._first_peers) or others
         self.follower.expected_size = max(
             1 + len(self._first_peers), len(listed)
         )
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -49,6 +49,10 @@
     fault: interfaces.PlatformFault
 
 
+class StoreAnswered(typing.NamedTuple):
+    """The store gave a value, or told that it did not change."""
+
+
 class PullFailed(typing.NamedTuple):
     """A peer did not hand over the version that it is said to hold."""
 
@@ -63,6 +67,7 @@
     | VersionRefused
     | VersionConflict
     | StoreFailed
+    | StoreAnswered
     | PullFailed
 )
 Observer = typing.Callable[[Observation], None]
--- a/packages/fleet/src/primrosemill/fleet/spread.py
+++ b/packages/fleet/src/primrosemill/fleet/spread.py
@@ -66,6 +66,7 @@
     ) -> None:
         self.assembled: assembly.Assembled | None = None
         self.conflicts = 0
+        self.peers_expected = True
         self._fleet = fleet
         self._generator = generator
         self._started = now
@@ -136,6 +137,11 @@
             own.number, own.digest.hex(), version.digest.hex()
         )
 
+    def version_heard(self, vm_id: str) -> int:
+        """Return the version that a peer reports; 0 where none is known."""
+        heard = self._heard_by_id.get(vm_id)
+        return 0 if heard is None else heard.version.number
+
     def forget(self, vm_id: str) -> None:
         """Drop what a VM said that is gone."""
         self._heard_by_id.pop(vm_id, None)
@@ -177,6 +183,8 @@
         )
         if highest > self.document.version:
             self._settled = waited >= CATCH_UP_WAIT
+        elif not self.peers_expected:
+            self._settled = True
         else:
             self._settled = highest > 0 or waited >= PEER_WAIT
         return self._settled
--- a/packages/fleet/src/primrosemill/fleet/wire.py
+++ b/packages/fleet/src/primrosemill/fleet/wire.py
@@ -17,6 +17,7 @@
 from primrosemill.fleet import replays
 
 TAG_SIZE = 16  # bytes
+KEY_SIZE = 32  # bytes
 HEADER_SIZE = 1 + TAG_SIZE  # bytes
 DATAGRAM_SIZE_LIMIT = 1_400  # bytes; below the usual path MTU.
 STREAM_SIZE_LIMIT = 128 * 1_024  # bytes of one message over TCP
@@ -74,9 +75,13 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-def derive_key(secret: str) -> bytes:
-    """Turn the secret of the settings into a key of fixed size."""
-    return hashlib.blake2b(secret.encode(), digest_size=32).digest()
+def derive_key(secret: bytes) -> bytes:
+    """Turn the secret of the settings into a key of fixed size.
+
+    An empty secret gives a key that everybody knows: tags then find damage,
+    not forgery.
+    """
+    return hashlib.blake2b(secret, digest_size=KEY_SIZE).digest()
 
 
 def _tag(key: bytes, body: bytes) -> bytes:
--- a/packages/measure/src/primrosemill/measure/membership_network.py
+++ b/packages/measure/src/primrosemill/measure/membership_network.py
@@ -69,7 +69,7 @@
         generator = random.Random(self._generator.random())
         view = membership.Membership(own, first_peers, generator, self.now)
         sealer = wire.Sealer(
-            wire.Sender("measured", vm_id, incarnation), wire.derive_key("")
+            wire.Sender("measured", vm_id, incarnation), wire.derive_key(b"")
         )
         self.nodes_by_id[vm_id] = Node(view, sealer)
         self._ids_by_ip[ip] = vm_id
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -8,6 +8,7 @@
 
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import exchange
+from primrosemill.proxy import peer_counters
 from primrosemill.proxy import plugs
 from primrosemill.telemetry import metrics
 
@@ -74,6 +75,7 @@
             "Seconds from a request's head to its last byte.",
             self.registry,
         )
+        self.peers = peer_counters.PeerCounters(self.registry)
 
     def count_retry(self, failure: outcomes.NotRun | outcomes.Unknown) -> None:
         """Count an attempt that another one follows."""
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -7,13 +7,14 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.fleet import node
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
 from primrosemill.proxy import admin
 from primrosemill.proxy import application
 from primrosemill.proxy import collector
 from primrosemill.proxy import counters
-from primrosemill.proxy import follower
+from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
 from primrosemill.proxy import settings as proxy_settings
@@ -32,6 +33,7 @@
 
     caller_port: int
     admin_port: int
+    peer_port: int
 
 
 class Parts(typing.NamedTuple):
@@ -77,10 +79,14 @@
         self._admin = server.Server(
             admin.Admin(self.read_status, counts.registry)
         )
-        self._follower = follower.Follower(
-            settings.fleet,
+        platform = node.Platform(
             store or over_http.HttpStore(settings.platform_address),
-            self._set_document,
+            over_http.HttpVmList(settings.platform_address),
+        )
+        if store is not None:
+            platform = node.Platform(store)
+        self.peers = peers.Peers(
+            settings, platform, self._set_document, counts.peers, generator
         )
         self._scope = trio.CancelScope()
 
@@ -100,14 +106,16 @@
                 admin_port = await nursery.start(
                     self._admin.run, ip, self._settings.admin_port
                 )
-                nursery.start_soon(self._follower.run)
-                await self._follower.first.wait()
+                peer_port = await nursery.start(self.peers.run)
+                await self.peers.first.wait()
                 caller_port = await nursery.start(
                     self._callers.run, ip, self._settings.caller_port
                 )
                 nursery.start_soon(self._keep_house)
                 collector.settle()
-                self._announce(Ports(caller_port, admin_port), task_status)
+                self._announce(
+                    Ports(caller_port, admin_port, peer_port), task_status
+                )
         self._application.close()
 
     async def run_until_signalled(
@@ -135,6 +143,7 @@
             signal=cause,
             serve_seconds=self._answer_lifetime,
         )
+        await self.peers.node.announce_leaving()
         await trio.sleep(self._answer_lifetime)
         self._application.closing = True
         with trio.move_on_after(self._settings.stop_seconds) as scope:
@@ -142,6 +151,7 @@
         if scope.cancelled_caught:
             self.stop_at_once(TIME_OVER)
             return
+        await self.peers.node.announce_gone()
         events.emit(events.VM_STOPPED, vm_id=self._settings.vm_id)
         self._scope.cancel()
 
@@ -157,7 +167,7 @@
 
     def read_status(self) -> status.Status:
         """Return what the admin port tells."""
-        document = self._follower.document
+        document = self.peers.document
         services = [
             status.describe_service(
                 service,
@@ -175,14 +185,14 @@
             configuration=status.ConfigurationStatus(
                 version=document.version, digest=document.digest
             ),
-            members=self._parts.sources.members(),
+            members=self.peers.members(),
             services=services,
         )
 
     def _state(self) -> status.VmState:
         if self._application.leaving:
             return status.VmState.LEAVING
-        if self._follower.first.is_set():
+        if self.peers.first.is_set():
             return status.VmState.SERVING
         return status.VmState.STARTING
 
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -16,7 +16,7 @@
 from tests.builders import configuration
 
 FLEET = configuration.FLEET
-SECRET = "secret"
+SECRET = b"secret"
 PORT = 7000
 
 
@@ -47,7 +47,7 @@
 def sealer(
     number: int = 1,
     fleet: str = FLEET,
-    secret: str = SECRET,
+    secret: bytes = SECRET,
     incarnation: int = 1,
 ) -> wire.Sealer:
     sender = wire.Sender(fleet, vm_id(number), incarnation)
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -57,7 +57,7 @@
         message = builders.ping()
         foreign = builders.sealer(fleet="guild").seal(message)
         self.assertEqual(Reason.FOREIGN_FLEET, self.refusal(foreign))
-        wrong_key = builders.sealer(secret="other").seal(message)
+        wrong_key = builders.sealer(secret=b"other").seal(message)
         self.assertEqual(Reason.WRONG_TAG, self.refusal(wrong_key))
         data = builders.sealer().seal(message)
         other_protocol = b"\x02" + data[1:]
