Answer callers who ask for addresses; assign homes from the members

Every VM works out the home VMs of each service and the lead of each instance from its own view of the members, and answers the address question at /.well-known/primrosemill/addresses. All VMs of a fleet serve callers on one port, so the membership messages need not carry it.

Found on the way: a test module that could not be imported ended the run without results, and the verdict was read from the run before: '268 passed, 0 failed' for nothing run. The verdict now compares the last stream with the one before the run and counts a run without results as failed; it has a test.

--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/addresses.py
@@ -0,0 +1,91 @@
+"""Answers callers who ask which VMs to use for a service."""
+
+import typing
+import urllib.parse
+
+import msgspec
+
+from primrosemill.decisions import addresses
+from primrosemill.proxy import asgi
+
+PATH = "/.well-known/primrosemill/addresses"
+JSON = [
+    (b"content-type", b"application/json"),
+    (b"cache-control", b"no-store"),
+]
+STATUS_OK = 200
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+
+
+class AddressAnswer(typing.TypedDict):
+    """JSON form of an answer; the lifetime is in seconds."""
+
+    service: str
+    addresses: list[str]
+    lifetime: float
+
+
+class AddressFault(typing.TypedDict):
+    """JSON form of a question that has no answer."""
+
+    fault: str
+    service: str
+
+
+class Question(typing.NamedTuple):
+    """A caller's question; the domain is empty where it is not known."""
+
+    service: str
+    caller: str
+    domain: str
+
+
+Find = typing.Callable[[Question], addresses.Answer | None]
+
+
+class AddressPoint:
+    """Serves the address question; ``find`` returns None for no service."""
+
+    def __init__(self, find: Find) -> None:
+        self._find = find
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answer one question."""
+        question = parse(scope["query_string"])
+        if not question.service:
+            await _respond_fault(send, STATUS_BAD_REQUEST, "MissingService")
+            return
+        answer = self._find(question)
+        if answer is None:
+            await _respond_fault(
+                send, STATUS_NOT_FOUND, "UnknownService", question.service
+            )
+            return
+        body = msgspec.json.encode(
+            AddressAnswer(
+                service=question.service,
+                addresses=list(answer.addresses),
+                lifetime=answer.lifetime,
+            )
+        )
+        await asgi.respond(send, STATUS_OK, JSON, body)
+
+
+async def _respond_fault(
+    send: asgi.Send, status: int, fault: str, service: str = ""
+) -> None:
+    body = msgspec.json.encode(AddressFault(fault=fault, service=service))
+    await asgi.respond(send, status, JSON, body)
+
+
+def parse(query: bytes) -> Question:
+    """Read a question from a query string."""
+    values_by_name = dict(urllib.parse.parse_qsl(query.decode("latin-1")))
+    return Question(
+        values_by_name.get("service", ""),
+        values_by_name.get("caller", ""),
+        values_by_name.get("domain", ""),
+    )
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/assignments.py
@@ -0,0 +1,86 @@
+"""Works out the home VMs of every service from the members of the fleet.
+
+Every VM does this for itself: views that agree on the members agree on the
+homes and on who leads which instance, without a message.
+"""
+
+import typing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import homes as home_vms
+from primrosemill.decisions import leads
+
+
+class Assignment(typing.NamedTuple):
+    """A service's homes in rank order and this VM's rank at each instance.
+
+    A rank of 0 means that this VM leads the instance.
+    """
+
+    service: str
+    homes: tuple[home_vms.Vm, ...]
+    rank_by_instance: dict[str, int]
+
+    @property
+    def led(self) -> frozenset[str]:
+        """Return the instances that this VM leads."""
+        return frozenset(
+            instance_id
+            for instance_id, rank in self.rank_by_instance.items()
+            if rank == 0
+        )
+
+
+OnChange = typing.Callable[[Assignment], None]
+
+
+class Assignments:
+    """Keeps the homes of all services and tells which ones changed."""
+
+    def __init__(self, own: home_vms.Vm, on_change: OnChange) -> None:
+        self.own = own
+        self.other_homes_by_service: dict[str, list[str]] = {}
+        self._on_change = on_change
+        self._table = home_vms.HomeTable()
+        self._services_by_name: dict[str, documents.Service] = {}
+
+    @property
+    def vm_count(self) -> int:
+        """Return the number of VMs that may be homes."""
+        return self._table.vm_count
+
+    def homes(self, service: str) -> tuple[home_vms.Vm, ...]:
+        """Return the homes of a service, none when it is unknown."""
+        return self._table.homes(service)
+
+    def is_home(self, service: str) -> bool:
+        """Tell whether this VM is home to a service."""
+        return self.own in self._table.homes(service)
+
+    def set_document(self, document: documents.Document) -> None:
+        """Take a new version; only services that it changes are told of."""
+        before_by_name = self._services_by_name
+        self._services_by_name = document.services_by_name
+        changed = set(self._table.set_services(document.services_by_name))
+        for name, service in document.services_by_name.items():
+            if before_by_name.get(name) is not service:
+                changed.add(name)
+        self._tell(changed)
+
+    def set_vms(self, vms: typing.Iterable[home_vms.Vm]) -> None:
+        """Take the VMs that may be homes now."""
+        self._tell(self._table.set_vms(vms))
+
+    def _tell(self, names: typing.Iterable[str]) -> None:
+        for name in sorted(names):
+            service = self._services_by_name.get(name)
+            if service is None:
+                self.other_homes_by_service.pop(name, None)
+                continue
+            vms = self._table.homes(name)
+            self.other_homes_by_service[name] = [
+                vm.id for vm in vms if vm != self.own
+            ]
+            ranked_by_id = leads.rank_homes(service.instances, vms)
+            rank_by_instance = leads.ranks_of(self.own.id, ranked_by_id)
+            self._on_change(Assignment(name, vms, rank_by_instance))
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -7,13 +7,19 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import addresses as decided_addresses
+from primrosemill.decisions import homes
 from primrosemill.fleet import node
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
+from primrosemill.proxy import addresses
 from primrosemill.proxy import admin
 from primrosemill.proxy import application
+from primrosemill.proxy import asgi
+from primrosemill.proxy import assignments
 from primrosemill.proxy import collector
 from primrosemill.proxy import counters
+from primrosemill.proxy import directory
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
@@ -23,6 +29,7 @@
 from primrosemill.telemetry import events
 
 HOUSEKEEPING_INTERVAL = 0.05  # seconds
+HOMES_INTERVAL = 0.25  # seconds
 # Callers use an answered address for so long; a leaving VM serves them.
 ANSWER_LIFETIME = 30.0  # seconds
 TIME_OVER = "time over"
@@ -43,12 +50,17 @@
     sources: status.Sources
     on_document: typing.Callable[[documents.Document], None]
     on_leaving: typing.Callable[[], None]
+    on_assignment: assignments.OnChange
 
 
 def plain_parts() -> Parts:
     """Return parts that decide nothing."""
     return Parts(
-        plugs.plain(), status.NoSources(), lambda document: None, lambda: None
+        plugs.plain(),
+        status.NoSources(),
+        lambda document: None,
+        lambda: None,
+        lambda assignment: None,
     )
 
 
@@ -74,7 +86,7 @@
             settings.waiting_requests,
         )
         self._callers = server.Server(
-            self._application, self._application.note_failure
+            self._answer_caller, self._application.note_failure
         )
         self._admin = server.Server(
             admin.Admin(self.read_status, counts.registry)
@@ -85,9 +97,25 @@
         )
         if store is not None:
             platform = node.Platform(store)
+        own = homes.Vm(settings.vm_id, settings.domain)
+        self._assignments = assignments.Assignments(
+            own, self._parts.on_assignment
+        )
         self.peers = peers.Peers(
-            settings, platform, self._set_document, counts.peers, generator
+            settings,
+            platform,
+            self._set_document,
+            counts.peers,
+            generator,
+            self._other_homes,
         )
+        self._directory = directory.Directory(
+            decided_addresses.Candidate(own, f"{settings.ip}:0"),
+            self.peers,
+            self._assignments,
+            answer_lifetime,
+        )
+        self._address_point = addresses.AddressPoint(self._directory.find)
         self._scope = trio.CancelScope()
 
     async def run(
@@ -111,7 +139,9 @@
                 caller_port = await nursery.start(
                     self._callers.run, ip, self._settings.caller_port
                 )
+                self._directory.set_caller_port(caller_port)
                 nursery.start_soon(self._keep_house)
+                nursery.start_soon(self._keep_homes)
                 collector.settle()
                 self._announce(
                     Ports(caller_port, admin_port, peer_port), task_status
@@ -137,6 +167,7 @@
         """
         self._application.leaving = True
         self._parts.on_leaving()
+        self._directory.set_leaving()
         events.emit(
             events.VM_LEAVING,
             vm_id=self._settings.vm_id,
@@ -172,6 +203,7 @@
             status.describe_service(
                 service,
                 self._application.waiting(service.name),
+                [vm.id for vm in self._assignments.homes(service.name)],
                 self._parts.sources,
             )
             for service in document.services_by_name.values()
@@ -210,9 +242,26 @@
     def _set_document(self, document: documents.Document) -> None:
         self._application.set_document(document)
         self._parts.on_document(document)
+        self._assignments.set_document(document)
         collector.spare_new()
 
     async def _keep_house(self) -> None:
         while True:
             await trio.sleep(HOUSEKEEPING_INTERVAL)
             self._application.keep_house()
+
+    async def _keep_homes(self) -> None:
+        while True:
+            self._assignments.set_vms(self._directory.vms())
+            await trio.sleep(HOMES_INTERVAL)
+
+    def _other_homes(self) -> dict[str, list[str]]:
+        return self._assignments.other_homes_by_service
+
+    async def _answer_caller(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        if scope["path"] == addresses.PATH:
+            await self._address_point(scope, receive, send)
+        else:
+            await self._application(scope, receive, send)
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -8,6 +8,7 @@
 
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
+from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import node
 from primrosemill.fleet import observations
@@ -64,6 +65,13 @@
         """Take part in the fleet; reports the port for peers."""
         await self.node.run(task_status=task_status)
 
+    def present(self) -> list[members.Member]:
+        """Return the other VMs that are not gone."""
+        if self.node.membership is None:
+            return []
+        table = self.node.membership.table
+        return [table.members_by_id[vm_id] for vm_id in table.present_by_id]
+
     def members(self) -> list[status.MemberStatus]:
         """Return the other VMs of the fleet as this one sees them."""
         if self.node.membership is None:
--- a/packages/proxy/src/primrosemill/proxy/status.py
+++ b/packages/proxy/src/primrosemill/proxy/status.py
@@ -74,14 +74,6 @@
 class Sources(typing.Protocol):
     """Where the parts of a status come from that others decide."""
 
-    def members(self) -> list[MemberStatus]:
-        """Return the other VMs of the fleet."""
-        ...
-
-    def homes(self, service: str) -> list[str]:
-        """Return the ids of a service's home VMs."""
-        ...
-
     def standing(
         self, service: str, instance: documents.Instance
     ) -> standings.Standing:
@@ -90,15 +82,7 @@
 
 
 class NoSources:
-    """Knows no other VM and thinks well of every instance."""
-
-    def members(self) -> list[MemberStatus]:
-        """Return nothing."""
-        return []
-
-    def homes(self, service: str) -> list[str]:
-        """Return nothing."""
-        return []
+    """Thinks well of every instance."""
 
     def standing(
         self, service: str, instance: documents.Instance
@@ -110,7 +94,10 @@
 
 
 def describe_service(
-    service: documents.Service, waiting: int, sources: Sources
+    service: documents.Service,
+    waiting: int,
+    homes: list[str],
+    sources: Sources,
 ) -> ServiceStatus:
     """Return the status of one service."""
     instances = [
@@ -122,7 +109,7 @@
         revision=service.revision,
         floor=service.floor,
         waiting=waiting,
-        homes=sources.homes(service.name),
+        homes=homes,
         instances=instances,
     )
 
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -17,20 +17,6 @@
 class OneSuspect(status.NoSources):
     """Knows a peer and thinks badly of one instance."""
 
-    def members(self):
-        return [
-            {
-                "id": "vm-1",
-                "ip": "127.0.0.2",
-                "domain": "hay-riad",
-                "state": "live",
-                "version": 6,
-            }
-        ]
-
-    def homes(self, service):
-        return ["vm-0", "vm-1"]
-
     def standing(self, service, instance):
         if instance.id != "res-1":
             return super().standing(service, instance)
@@ -39,6 +25,17 @@
         )
 
 
+MEMBERS = [
+    {
+        "id": "vm-1",
+        "ip": "127.0.0.2",
+        "domain": "hay-riad",
+        "state": "live",
+        "version": 6,
+    }
+]
+
+
 def answer(content, code=200):
     head = f"HTTP/1.1 {code} X\r\ncontent-length: {len(content)}\r\n\r\n"
     return head.encode() + content
@@ -47,7 +44,7 @@
 def build_status():
     document = builders.assembled().document
     services = [
-        status.describe_service(service, 2, OneSuspect())
+        status.describe_service(service, 2, ["vm-0", "vm-1"], OneSuspect())
         for service in document.services_by_name.values()
     ]
     return status.Status(
@@ -57,7 +54,7 @@
         state="serving",
         requests_in_flight=3,
         configuration={"version": 7, "digest": values.digest(b"")},
-        members=OneSuspect().members(),
+        members=MEMBERS,
         services=services,
     )
 
--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -33,6 +33,11 @@
         verdict = run_tests.judge(stream_of(a="success"), frozenset({"a"}))
         self.assertEqual(run_tests.Verdict(1, 0, (), (), ("a",)), verdict)
 
+    def test_a_run_without_results_of_its_own_is_a_failure(self):
+        stream = stream_of(a="success")
+        verdict = run_tests.judge_run(stream, stream, frozenset())
+        self.assertEqual((0, (run_tests.NOT_RUN,)), verdict[:3:2])
+
     def test_a_test_that_never_ends_is_a_failure(self):
         stream = stream_of(a="inprogress")
         verdict = run_tests.judge(stream, frozenset())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -15,7 +15,7 @@
 
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 RED_PREFIX = "test: "
-FAILED_STATUSES = ("fail", "uxsuccess")
+NOT_RUN = "the run itself: no test was started"
 
 
 class Verdict(typing.NamedTuple):
@@ -70,14 +70,34 @@
     )
 
 
-def main() -> int:
-    """Run stestr, print the verdict and return the exit status."""
-    subprocess.run([sys.executable, "-m", "stestr", "run", *sys.argv[1:]])
+def judge_run(
+    before: bytes, after: bytes, known_red: frozenset[str]
+) -> Verdict:
+    """Judge the last stream, if the run has left one.
+
+    A stream holds times, so one that is as before is not of this run: a
+    test module that can't be imported ends the run without a result.
+    """
+    if after == before:
+        return Verdict(0, 0, (NOT_RUN,), ())
+    return judge(after, known_red)
+
+
+def read_last_stream() -> bytes:
+    """Return the subunit stream of the last run, empty if there is none."""
     last = subprocess.run(
         [sys.executable, "-m", "stestr", "last", "--subunit"],
         stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
     )
-    verdict = judge(last.stdout, read_known_red(KNOWN_RED))
+    return last.stdout
+
+
+def main() -> int:
+    """Run stestr, print the verdict and return the exit status."""
+    before = read_last_stream()
+    subprocess.run([sys.executable, "-m", "stestr", "run", *sys.argv[1:]])
+    verdict = judge_run(before, read_last_stream(), read_known_red(KNOWN_RED))
     for test_id in verdict.known_red:
         print(f"known red: {test_id}")
     for test_id in verdict.mended:
