Run a demo of a small fleet and judge its promises

'make demo' had no program. It now runs a stand-in platform, six instances in three failure domains and three VMs on loopback, sends 60 requests a second, lets one instance stall behind good probes, and judges six promises from what callers, instances and VMs saw.

--- /dev/null
+++ b/packages/measure/src/primrosemill/measure/demo.py
@@ -0,0 +1,154 @@
+"""Runs a small fleet on loopback and shows what it does for callers.
+
+One instance turns gray: it takes requests and never answers them, while its
+health endpoint stays good. The fleet must take it out, lose no request, and
+bring it back after it has recovered.
+"""
+
+import sys
+import time
+
+import click
+import trio
+
+from primrosemill.decisions import standings
+from primrosemill.measure import demo_callers
+from primrosemill.measure import demo_fleet
+from primrosemill.measure import demo_report
+from primrosemill.measure import demo_watch
+from primrosemill.standins import faults
+
+SICK_ID = f"{demo_fleet.SERVICE}-1"
+SETTLING_SECONDS = 2.0
+HEALTHY_SECONDS = 8.0
+OUT_SECONDS = 4.0
+LAST_SECONDS = 3.0
+DETECTION_PATIENCE = 8.0  # seconds
+RECOVERY_PATIENCE = 20.0  # seconds
+IN_STATES = frozenset({standings.State.IN_ROTATION.value})
+
+
+class Demo:
+    """Leads through the phases and keeps what is needed to judge them."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._started = time.perf_counter()
+        self._phases: list[demo_report.Phase] = []
+
+    def _say(self, text: str) -> None:
+        elapsed = time.perf_counter() - self._started
+        click.echo(f"{elapsed:5.1f} s  {text}")
+
+    def _begin(self, name: str, text: str) -> None:
+        self._phases.append(demo_report.Phase(name, trio.current_time()))
+        self._say(text)
+
+    async def run(self) -> bool:
+        """Run the demo; returns whether every promise held."""
+        async with trio.open_nursery() as nursery:
+            self._say("starting a platform, instances and VMs")
+            fleet = await demo_fleet.start(nursery, self._seed)
+            self._say(
+                f"{demo_fleet.VMS} VMs serve {demo_fleet.INSTANCES} instances "
+                f"in {len(demo_fleet.DOMAINS)} failure domains"
+            )
+            watch = demo_watch.Watch(fleet)
+            nursery.start_soon(watch.run)
+            callers = demo_callers.Callers(
+                fleet.caller_addresses, demo_callers.RATE, f"c{self._seed}"
+            )
+            async with trio.open_nursery() as calling:
+                calling.start_soon(callers.run)
+                await self._pass_healthy_time(fleet, callers)
+                times = await self._pass_sick_time(fleet, watch)
+                await trio.sleep(LAST_SECONDS)
+                callers.stop()
+            promises = demo_report.judge(
+                fleet, watch, callers.met, times, SICK_ID
+            )
+            nursery.cancel_scope.cancel()
+        self._report(callers, promises)
+        return all(promise.held for promise in promises)
+
+    async def _pass_healthy_time(
+        self, fleet: demo_fleet.Fleet, callers: demo_callers.Callers
+    ) -> None:
+        self._begin("start", f"{demo_callers.RATE:g} requests a second")
+        await trio.sleep(SETTLING_SECONDS)
+        self._begin("all well", "all instances are well")
+        direct = demo_callers.Callers(
+            fleet.instance_addresses,
+            demo_callers.DIRECT_RATE,
+            f"d{self._seed}",
+        )
+        since = len(callers.met)
+        async with trio.open_nursery() as calling:
+            calling.start_soon(direct.run)
+            await trio.sleep(HEALTHY_SECONDS)
+            direct.stop()
+        through = demo_report.percentiles(callers.met[since:])
+        straight = demo_report.percentiles(direct.met)
+        self._say(
+            f"added latency: {through[0] - straight[0]:.1f} ms at the median "
+            f"({through[0]:.1f} through a VM, {straight[0]:.1f} straight), "
+            f"{through[1] - straight[1]:.1f} ms at 99 % "
+            f"({through[1]:.1f}, {straight[1]:.1f}); callers, VMs and "
+            "instances share one thread"
+        )
+
+    async def _pass_sick_time(
+        self, fleet: demo_fleet.Fleet, watch: demo_watch.Watch
+    ) -> demo_report.Times:
+        sick = fleet.instances_by_id[SICK_ID]
+        sick.set_sickness(faults.Sickness(faults.Mode.STALL))
+        self._begin("before detection", f"{SICK_ID} stalls, its probes lie")
+        began = trio.current_time()
+        runs_before = len(sick.runs)
+        detection = None
+        if await watch.wait_until(
+            SICK_ID, demo_watch.OUT_STATES, DETECTION_PATIENCE
+        ):
+            detection = trio.current_time() - began
+            self._begin(
+                "taken out",
+                f"every VM took it out within {detection:.2f} s; it had "
+                f"received {len(sick.runs) - runs_before} requests",
+            )
+        else:
+            self._begin("not taken out", "not every VM took it out")
+        await trio.sleep(OUT_SECONDS)
+        sick.set_sickness(faults.Sickness())
+        self._begin("recovering", f"{SICK_ID} is well again")
+        if detection is None:
+            return demo_report.Times(None, None)
+        began = trio.current_time()
+        if not await watch.wait_until(SICK_ID, IN_STATES, RECOVERY_PATIENCE):
+            self._begin("not back", "not every VM uses it again")
+            return demo_report.Times(detection, None)
+        recovery = trio.current_time() - began
+        self._begin("back", f"every VM uses it again, {recovery:.2f} s later")
+        return demo_report.Times(detection, recovery)
+
+    def _report(
+        self,
+        callers: demo_callers.Callers,
+        promises: list[demo_report.Promise],
+    ) -> None:
+        self._say(f"{len(callers.met)} requests met:")
+        for line in demo_report.describe_phases(self._phases, callers.met):
+            click.echo(line)
+        for promise in promises:
+            verdict = "held  " if promise.held else "BROKEN"
+            detail = f" ({promise.detail})" if promise.detail else ""
+            click.echo(f"  {verdict} {promise.text}{detail}")
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+def main(seed: int) -> None:
+    """Run a small fleet; one instance turns gray and recovers.
+
+    Exit status: 0 if every promise held, 1 otherwise.
+    """
+    sys.exit(0 if trio.run(Demo(seed).run) else 1)
--- /dev/null
+++ b/packages/measure/src/primrosemill/measure/demo_fleet.py
@@ -0,0 +1,179 @@
+"""Runs a small fleet in one process, on loopback addresses.
+
+The stand-in platform, the instances and the VMs speak over real sockets;
+only the processes are left out.
+"""
+
+import random
+import socket
+import typing
+
+import trio
+
+from primrosemill.proxy import daemon
+from primrosemill.proxy import settings
+from primrosemill.publish import builders
+from primrosemill.publish import publication
+from primrosemill.standins import asgi
+from primrosemill.standins import instance
+from primrosemill.standins import platform
+
+FLEET = "atlas"
+SERVICE = "reservations"
+DOMAINS = ("ain-sebaa", "hay-riad", "sidi-maarouf")
+INSTANCES = 6
+SLOTS = 3
+FLOOR = 4
+VMS = 3
+SERVICE_TIME = 0.02  # seconds
+DEADLINE = 5.0  # seconds
+DEMAND = 100.0  # requests a second
+DETECTION_WEIGHT = 0.9
+PLATFORM_IP = "127.0.0.1"
+ANY_PORT = 0
+
+
+class Fleet(typing.NamedTuple):
+    """The parts of a running fleet; VMs in the order of their addresses."""
+
+    platform: platform.PlatformStandin
+    instances_by_id: dict[str, instance.InstanceStandin]
+    instance_addresses: tuple[str, ...]
+    vms_by_id: dict[str, daemon.Daemon]
+    caller_addresses: tuple[str, ...]
+
+
+class StartedVm(typing.NamedTuple):
+    """A VM that serves callers, and where."""
+
+    vm: daemon.Daemon
+    caller_address: str
+
+
+async def start(nursery: trio.Nursery, seed: int) -> Fleet:
+    """Start a fleet and return once every VM serves callers."""
+    instances_by_id = _make_instances()
+    instance_addresses = []
+    for number, standin in enumerate(instances_by_id.values()):
+        served = await nursery.start(
+            asgi.serve, standin, f"127.0.1.{number + 1}"
+        )
+        instance_addresses.append(served.address)
+    store = platform.PlatformStandin()
+    store.publish(_document(list(instances_by_id), instance_addresses))
+    vms_ips = [f"127.0.2.{number + 1}" for number in range(VMS)]
+    store.vms.extend(_vm_lines(vms_ips))
+    at = await nursery.start(asgi.serve, store, PLATFORM_IP)
+    peer_port = _free_port(vms_ips)
+    started_by_id: dict[str, StartedVm] = {}
+    # VMs wait for each other at their start, so they start together.
+    async with trio.open_nursery() as starting:
+        for number, ip in enumerate(vms_ips):
+            made = _settings(number, ip, at.address, peer_port)
+            generator = random.Random(f"{seed}/{number}")
+            starting.start_soon(
+                _start_vm, nursery, made, generator, started_by_id
+            )
+    vm_ids = sorted(started_by_id)
+    return Fleet(
+        store,
+        instances_by_id,
+        tuple(instance_addresses),
+        {vm_id: started_by_id[vm_id].vm for vm_id in vm_ids},
+        tuple(started_by_id[vm_id].caller_address for vm_id in vm_ids),
+    )
+
+
+async def _start_vm(
+    nursery: trio.Nursery,
+    made: settings.Settings,
+    generator: random.Random,
+    started_by_id: dict[str, StartedVm],
+) -> None:
+    vm = daemon.Daemon(made, generator)
+    ports = await nursery.start(vm.run)
+    address = f"{made.ip}:{ports.caller_port}"
+    started_by_id[made.vm_id] = StartedVm(vm, address)
+
+
+def _make_instances() -> dict[str, instance.InstanceStandin]:
+    names = [f"{SERVICE}-{number}" for number in range(INSTANCES)]
+    return {
+        name: instance.InstanceStandin(name, SLOTS, SERVICE_TIME)
+        for name in names
+    }
+
+
+def _domain(number: int) -> str:
+    return DOMAINS[number % len(DOMAINS)]
+
+
+def _document(names: list[str], addresses: list[str]) -> dict[str, bytes]:
+    instances = []
+    for number, address in enumerate(addresses):
+        ip, _, port = address.rpartition(":")
+        instances.append(
+            builders.instance(names[number], ip, int(port), _domain(number))
+        )
+    service = builders.service(
+        SERVICE,
+        instances,
+        [
+            builders.route(
+                "/slots", methods=["GET"], idempotent=True, deadline=DEADLINE
+            ),
+            builders.route(
+                "/bookings",
+                methods=["POST"],
+                idempotent=False,
+                deadline=DEADLINE,
+            ),
+        ],
+        floor=FLOOR,
+        slots=SLOTS,
+        demand=DEMAND,
+        detection_weight=DETECTION_WEIGHT,
+        cold_start=0.0,
+        probe_interval=1.0,
+    )
+    plan = publication.Plan(
+        FLEET, DOMAINS, (service,), builders.limit(1_000.0, 1_000), {}
+    )
+    return publication.prepare(plan).ok.values_by_key
+
+
+def _vm_lines(ips: list[str]) -> list[dict[str, str]]:
+    return [
+        {
+            "id": f"entry-{number}",
+            "ip": ip,
+            "domain": _domain(number),
+            "state": "live",
+        }
+        for number, ip in enumerate(ips)
+    ]
+
+
+def _settings(
+    number: int, ip: str, platform_address: str, peer_port: int
+) -> settings.Settings:
+    return settings.Settings(
+        FLEET,
+        f"entry-{number}",
+        ip,
+        _domain(number),
+        platform_address,
+        ANY_PORT,
+        ANY_PORT,
+        peer_port,
+    )
+
+
+def _free_port(ips: list[str]) -> int:
+    """Return a port that is free on every address.
+
+    VMs of a fleet share one port for peers, so none can take any it likes.
+    """
+    with socket.socket() as probe:
+        probe.bind((ips[0], ANY_PORT))
+        return probe.getsockname()[1]
