Tell misspelt fields and addresses that are no host's

'check' passed a document whose optional field was misspelt, since VMs ignore fields that they do not know; it is now told with the fields allowed. An instance at 0.0.0.0 or a multicast number was accepted, and a port of thousands of digits raised out of the check.

--- a/packages/cli/src/primrosemill/cli/check.py
+++ b/packages/cli/src/primrosemill/cli/check.py
@@ -12,6 +12,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.configuration import faults
 from primrosemill.configuration import files
+from primrosemill.configuration import unknown
 from primrosemill.configuration import values
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import settings_faults
@@ -89,6 +90,9 @@
     result = _assemble(decoded.ok.values_by_key)
     if result.is_error():
         return _refuse(path, result.error, decoded.ok.lines_by_key)
+    found = unknown.find_unknown_fields(result.ok.values_by_key)
+    if found:
+        return _refuse(path, tuple(found), decoded.ok.lines_by_key)
     return Report(_summarize(result.ok.document), ())
 
 
--- a/packages/configuration/src/primrosemill/configuration/checks.py
+++ b/packages/configuration/src/primrosemill/configuration/checks.py
@@ -73,20 +73,31 @@
     ]
 
 
+def parse_host(text: str) -> str | None:
+    """Return the IP number of one host in its usual form, or None."""
+    try:
+        ip = ipaddress.ip_address(text)
+    except ValueError:
+        return None
+    if ip.is_unspecified or ip.is_multicast:
+        return None
+    return str(ip)
+
+
 @functools.lru_cache(maxsize=ADDRESSES_REMEMBERED)
 def split_address(address: str) -> tuple[str, int] | None:
     """Return the IP number and port of ``ip:port``, or None."""
     host, _, port_text = address.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if not port_text.isascii() or not port_text.isdigit():
+    ip = parse_host(host.removeprefix("[").removesuffix("]"))
+    if ip is None or not port_text.isascii() or not port_text.isdigit():
+        return None
+    # Python refuses to convert very long digits, which are no port anyway.
+    if len(port_text) > len(str(HIGHEST_PORT)):
         return None
     port = int(port_text)
     if not 0 < port <= HIGHEST_PORT:
         return None
-    try:
-        return str(ipaddress.ip_address(host)), port
-    except ValueError:
-        return None
+    return ip, port
 
 
 def check_instance(
--- a/packages/configuration/src/primrosemill/configuration/faults.py
+++ b/packages/configuration/src/primrosemill/configuration/faults.py
@@ -129,6 +129,14 @@
     other_key: str
 
 
+class UnknownField(typing.NamedTuple):
+    """A value has a field that its form lacks; VMs ignore it."""
+
+    key: str
+    field: str
+    allowed: str
+
+
 class MalformedLine(typing.NamedTuple):
     """A line of a document file has no tab after its key."""
 
@@ -159,6 +167,7 @@
     | OlderVersion
     | ConflictingVersion
     | DuplicateCaller
+    | UnknownField
     | MalformedLine
     | DuplicateLine
 )
--- a/packages/configuration/src/primrosemill/configuration/values.py
+++ b/packages/configuration/src/primrosemill/configuration/values.py
@@ -12,6 +12,8 @@
 VALUE_SIZE_LIMIT = 1_000_000  # bytes; the store holds up to a megabyte.
 DIGEST_SIZE = 16  # bytes, before the hexadecimal form doubles them.
 INDEX_KEY = "index"
+SERVICE_PREFIX = "service"
+LIMITS_PREFIX = "limits"
 
 
 class InstanceValue(typing.TypedDict):
@@ -85,12 +87,12 @@
 
 def service_key(name: str, revision: int) -> str:
     """Return the key of one revision of a service."""
-    return f"service/{name}/{revision}"
+    return f"{SERVICE_PREFIX}/{name}/{revision}"
 
 
 def limits_key(shard: str, revision: int) -> str:
     """Return the key of one revision of a shard of limits."""
-    return f"limits/{shard}/{revision}"
+    return f"{LIMITS_PREFIX}/{shard}/{revision}"
 
 
 def part_keys(index: IndexValue) -> dict[str, str]:
--- a/packages/proxy/src/primrosemill/proxy/settings_schema.py
+++ b/packages/proxy/src/primrosemill/proxy/settings_schema.py
@@ -6,7 +6,6 @@
 
 import binascii
 import functools
-import ipaddress
 import math
 import re
 import typing
@@ -35,7 +34,7 @@
 
 
 class IpNumber(typing.NamedTuple):
-    """An IPv4 or IPv6 number."""
+    """The IPv4 or IPv6 number of one host."""
 
 
 class Address(typing.NamedTuple):
@@ -110,15 +109,15 @@
 
 @parse.register
 def _parse_ip_number(form: IpNumber, text: str) -> Parsed:
-    try:
-        return expression.Ok(str(ipaddress.ip_address(text)))
-    except ValueError:
+    ip = checks.parse_host(text)
+    if ip is None:
         return expression.Error(NotOfForm())
+    return expression.Ok(ip)
 
 
 @describe.register
 def _describe_ip_number(form: IpNumber) -> str:
-    return "an IP number"
+    return "the IP number of one host"
 
 
 @parse.register
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -47,6 +47,17 @@
         ):
             self.assertIn(expected, result.stderr)
 
+    def test_misspelt_fields_are_told(self):
+        instance = builders.instance_value(0, stat="leaving")
+        service = builders.service_value(1, instances=[instance], demnd=1)
+        result = self.check(files.encode(builders.published(service, x=[])))
+        self.assertEqual(2, result.exit_code)
+        found = [
+            line.split("field=")[1].split(",")[0]
+            for line in result.stderr.splitlines()
+        ]
+        self.assertEqual(["'instances.stat'", "'demnd'", "'x'"], found)
+
     def test_a_missing_part_is_told_at_the_index(self):
         published = builders.published()
         del published["service/reservations/1"]
--- a/tests/configuration/test_assembly.py
+++ b/tests/configuration/test_assembly.py
@@ -51,6 +51,10 @@
             (faults.UnknownDomain, {"domain": "elsewhere"}),
             (faults.BadAddress, {"address": "localhost:80"}),
             (faults.BadAddress, {"address": "127.0.0.1:0"}),
+            (faults.BadAddress, {"address": f"127.0.0.1:{'9' * 5_000}"}),
+            (faults.BadAddress, {"address": "0.0.0.0:80"}),
+            (faults.BadAddress, {"address": "224.0.0.1:80"}),
+            (faults.BadAddress, {"address": "[::]:80"}),
             (faults.UnknownState, {"state": "asleep"}),
         ]
         for fault_type, changes in cases:
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -39,6 +39,7 @@
         cases = [
             ("vm", "id", "entry 1", faults.WrongType),
             ("vm", "ip", "localhost", faults.WrongType),
+            ("vm", "ip", "0.0.0.0", faults.WrongType),
             ("platform", "address", "127.0.0.1", faults.WrongType),
             ("platform", "address", "127.0.0.1:70000", faults.WrongType),
             ("ports", "caller", "80a", faults.WrongType),
