Use instances' connections without httpcore's lock

httpcore guards the state of a connection with a lock whose every take is a pass of the scheduler, two a request; here one attempt has the connection to itself.

--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -15,6 +15,29 @@
 IDLE_LIMIT = 16  # connections to one instance
 
 
+class _NoLock:
+    """Stands in for a lock where one task has the connection to itself."""
+
+    async def __aenter__(self) -> None:
+        return
+
+    async def __aexit__(self, *error: object) -> None:
+        return
+
+
+class _HttpConnection(httpcore.AsyncHTTP11Connection):
+    """An HTTP connection that only its attempt uses.
+
+    Each take of httpcore's lock is a pass of the scheduler, two a request.
+    """
+
+    def __init__(
+        self, origin: httpcore.Origin, stream: wire.InstanceStream
+    ) -> None:
+        super().__init__(origin, stream)
+        self._state_lock = _NoLock()
+
+
 class Connection(typing.NamedTuple):
     """An HTTP connection and the stream below it."""
 
@@ -62,9 +85,7 @@
         """Open a connection; raises OSError."""
         stream = await wire.connect(instance)
         origin = httpcore.Origin(b"http", instance.ip.encode(), instance.port)
-        return Connection(
-            httpcore.AsyncHTTP11Connection(origin, stream), stream
-        )
+        return Connection(_HttpConnection(origin, stream), stream)
 
     def put_back(
         self, instance: documents.Instance, connection: Connection
