Report a drain sign on any answer, and name a passed deadline as such

A draining instance that shed said so in vain, since only whole answers were looked at. A request whose deadline passed before it was sent was refused as retries_spent. Dispatchers of removed services went on for ever.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -49,15 +49,21 @@
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         self._table = routes.RouteTable(document)
+        before = self._dispatchers_by_service
+        self._dispatchers_by_service = {}
         for name, service in document.services_by_name.items():
-            dispatcher = self._dispatchers_by_service.get(name)
-            if dispatcher is not None:
+            dispatcher = before.get(name)
+            if dispatcher is None:
+                dispatcher = self._make_dispatcher(service)
+            else:
                 dispatcher.set_service(service)
-                continue
-            table = slots.SlotTable(service, self._generator)
-            self._dispatchers_by_service[name] = dispatch.Dispatcher(
-                table, self._queue_limit
-            )
+            self._dispatchers_by_service[name] = dispatcher
+
+    def _make_dispatcher(
+        self, service: documents.Service
+    ) -> dispatch.Dispatcher:
+        table = slots.SlotTable(service, self._generator)
+        return dispatch.Dispatcher(table, self._queue_limit)
 
     def keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -46,12 +46,6 @@
     whole: bool
     first_byte: float
 
-    @property
-    def draining(self) -> bool:
-        """Tell whether the instance says that it is leaving."""
-        state = headers.find(self.headers, headers.INSTANCE_STATE)
-        return state == headers.DRAINING
-
 
 Ending = Answer | outcomes.NotRun | outcomes.Unknown
 
@@ -73,6 +67,7 @@
         self._pieces: typing.AsyncGenerator[bytes, None] | None = None
         self._whole = False
         self.maybe_ran = False
+        self.draining = False
 
     async def close(self) -> None:
         """Keep the connection if its answer was read whole, else close it."""
@@ -140,6 +135,8 @@
         first_byte = trio.current_time()
         self._response = response
         self._pieces = aiter(response.stream)
+        state = headers.find(response.headers, headers.INSTANCE_STATE)
+        self.draining = state == headers.DRAINING
         ending = await self._hold(response, first_byte)
         if _is_shed(response):
             return outcomes.NotRun(outcomes.NotRunReason.SHED)
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -11,13 +11,13 @@
 
 import hypercorn.config
 import hypercorn.events
-import hypercorn.protocol.h11
 import hypercorn.trio.worker_context
 import hypercorn.typing
 import trio
 
 from primrosemill.proxy import asgi
 from primrosemill.proxy import callers
+from primrosemill.proxy import http1
 from primrosemill.proxy import inbox
 from primrosemill.proxy import sockets
 
@@ -48,7 +48,7 @@
         self._holding = False
         self.idle_since: float | None = trio.current_time()
         self.on_gone: typing.Callable[[], None] | None = None
-        self._protocol = hypercorn.protocol.h11.H11Protocol(
+        self._protocol = http1.Http1Protocol(
             handler,
             config,
             context,
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -92,6 +92,10 @@
             return self._unknown or plugs.Refused(
                 outcomes.RefusalReason.BODY_SENT
             )
+        if trio.current_time() >= outgoing.deadline:
+            return self._unknown or plugs.Refused(
+                outcomes.RefusalReason.DEADLINE
+            )
         decision = self._retries.decide(self._facts(failure))
         if decision.action is plugs.Action.GIVE_UP:
             return self._unknown or plugs.Refused(decision.reason)
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -59,18 +59,21 @@
     def _end(self) -> plugs.AttemptEnd:
         elapsed = trio.current_time() - self._start.started
         ending = self.ending
+        draining = self.attempt.draining
         if isinstance(ending, attempts.Answer):
             return plugs.AttemptEnd(
                 self._start,
                 self.cut_off or outcomes.Answered(ending.status, elapsed),
                 ending.first_byte - self._start.started,
                 elapsed,
-                ending.draining,
+                draining,
                 not self.delivered,
             )
         if ending is not None:
-            return plugs.AttemptEnd(self._start, ending, None, elapsed)
+            return plugs.AttemptEnd(
+                self._start, ending, None, elapsed, draining
+            )
         outcome = CANCELLED if self.attempt.maybe_ran else CANCELLED_UNSENT
         return plugs.AttemptEnd(
-            self._start, outcome, None, elapsed, abandoned=True
+            self._start, outcome, None, elapsed, draining, abandoned=True
         )
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -44,22 +44,24 @@
 def forward(
     headers: asgi.Headers, dropped_names: frozenset[bytes]
 ) -> asgi.Headers:
-    """Return the headers that go on to the next hop."""
+    """Return the headers that go on to the next hop.
+
+    A length beside a transfer encoding is dropped: two readers that
+    disagree on which counts could be made to see different requests.
+    """
     kept = []
-    named_by_connection: frozenset[bytes] = frozenset()
+    more_dropped: frozenset[bytes] = frozenset()
     for header in headers:
         name = header[0].lower()
         if name == CONNECTION:
-            named_by_connection |= _tokens(header[1])
+            more_dropped |= _tokens(header[1]) - HOP_NAMES
+        elif name == TRANSFER_ENCODING:
+            more_dropped |= {CONTENT_LENGTH}
         if name not in dropped_names:
             kept.append(header)
-    if not named_by_connection - HOP_NAMES:
+    if not more_dropped:
         return kept
-    return [
-        header
-        for header in kept
-        if header[0].lower() not in named_by_connection
-    ]
+    return [each for each in kept if each[0].lower() not in more_dropped]
 
 
 def _tokens(value: bytes) -> frozenset[bytes]:
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -121,6 +121,18 @@
 
         self.run_with([shed], check, deadline=0.2)
 
+    def test_a_draining_instance_that_sheds_is_reported(self):
+        async def shed_draining(stream, count):
+            line = b"x-instance-state: draining\r\n\r\n"
+            await stream.send_all(SHED[:-2] + line)
+            return True
+
+        async def check(path, raws):
+            await builders.call(path, builders.ONCE_PATH, method="POST")
+            self.assertTrue(self.recorder.ends[0].draining)
+
+        self.run_with([shed_draining], check, deadline=0.1)
+
     def test_a_deadline_while_waiting_for_a_slot_is_not_run(self):
         async def check(path, raws):
             async with trio.open_nursery() as nursery:
@@ -154,7 +166,7 @@
             )
             self.assertEqual(1, raws[0].connections)
             self.assertEqual(1, len(raws[0].heads))
-            self.assertEqual("not-run", builders.header(response, "x-outcome"))
+            self.assert_outcome(response, 504, "not-run", "deadline")
 
         self.run_with([answer_whole], check, deadline=0.3)
 
@@ -300,6 +312,36 @@
         # The deadline is far, so only the caller's leaving can cancel.
         self.run_with([wait_for_close], check, deadline=3_600.0)
 
+    def test_an_upgrade_is_answered_as_any_request(self):
+        async def check(path, raws):
+            for upgrade in ("websocket", "h2c"):
+                response = await builders.call(
+                    path,
+                    builders.IDEMPOTENT_PATH,
+                    headers={"connection": "upgrade", "upgrade": upgrade},
+                )
+                self.assertEqual(200, response.status)
+            for head in raws[0].heads:
+                self.assertNotIn(b"upgrade", head.lower())
+
+        self.run_with([answer_whole], check)
+
+    def test_bytes_that_are_no_request_are_refused(self):
+        async def check(path, raws):
+            for nonsense in (
+                b"\x16\x03\x01\x00\r\n\r\n",
+                b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+                b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+                b"GET / HTTP/1.1\r\n" + b"a: " + b"b" * 100_000,
+            ):
+                stream = await trio.open_tcp_stream(builders.IP, path.port)
+                await stream.send_all(nonsense)
+                answer = await stream.receive_some(65_536)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 4"), answer)
+            self.assertEqual([], raws[0].heads)
+
+        self.run_with([answer_whole], check)
+
     def test_instances_learn_the_time_left(self):
         async def check(path, raws):
             await builders.call(
