Use the home VMs' type for peers and keep properties untimed

A property test failed on a busy machine because drawing its first input took 2.3 s, which hypothesis counts as an unhealthy strategy. Verdicts must not hang on the machine's load, so the timing checks of hypothesis are off in these tests; the number of examples and the properties are unchanged.

--- a/packages/decisions/src/primrosemill/decisions/detector.py
+++ b/packages/decisions/src/primrosemill/decisions/detector.py
@@ -11,6 +11,7 @@
 from primrosemill.decisions import deciding
 from primrosemill.decisions import drains
 from primrosemill.decisions import evidence
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import peers
 from primrosemill.decisions import probing
@@ -32,7 +33,7 @@
     """Watches the instances of one service from one VM."""
 
     def __init__(
-        self, own: peers.Home, service: documents.Service, now: float
+        self, own: home_vms.Vm, service: documents.Service, now: float
     ) -> None:
         self._limits = thresholds.from_weight(service.detection_weight)
         self._board = suspicion.Scoreboard(self._limits, now)
@@ -59,7 +60,7 @@
 
     def set_homes(
         self,
-        homes: typing.Sequence[peers.Home],
+        homes: typing.Sequence[home_vms.Vm],
         led: typing.Iterable[str],
         now: float,
     ) -> None:
--- a/packages/decisions/src/primrosemill/decisions/judgement.py
+++ b/packages/decisions/src/primrosemill/decisions/judgement.py
@@ -4,6 +4,7 @@
 import typing
 
 from primrosemill.decisions import evidence
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import peers
 from primrosemill.decisions import thresholds
 
@@ -22,14 +23,14 @@
 class Votes(typing.NamedTuple):
     """The VMs that find an instance sick, and those that find it well."""
 
-    sick: tuple[peers.Home, ...]
-    well: tuple[peers.Home, ...]
+    sick: tuple[home_vms.Vm, ...]
+    well: tuple[home_vms.Vm, ...]
     highest: float
     total: float
 
 
 def count(
-    own: peers.Home,
+    own: home_vms.Vm,
     own_evidence: evidence.InstanceEvidence,
     fresh: typing.Sequence[peers.Heard],
     limits: thresholds.Thresholds,
@@ -40,7 +41,7 @@
     for heard in fresh:
         each = heard.by_instance.get(instance_id)
         if each is not None:
-            home = peers.Home(heard.report.vm_id, heard.report.domain)
+            home = home_vms.Vm(heard.report.vm_id, heard.report.domain)
             met.append((home, each))
     sick = []
     well = []
--- a/packages/decisions/src/primrosemill/decisions/peers.py
+++ b/packages/decisions/src/primrosemill/decisions/peers.py
@@ -3,6 +3,7 @@
 import typing
 
 from primrosemill.decisions import evidence
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import standings
 
 FRESH = 3.0  # seconds; an older report carries no weight as evidence.
@@ -10,13 +11,6 @@
 OUT_STATES = frozenset({standings.State.EJECTED, standings.State.TRIAL})
 
 
-class Home(typing.NamedTuple):
-    """A home VM of a service and its failure domain."""
-
-    id: str
-    domain: str
-
-
 class Heard(typing.NamedTuple):
     """A peer's report and when it came."""
 
@@ -32,9 +26,9 @@
     views that agree on the homes agree on the owner without a message.
     """
 
-    def __init__(self, own: Home) -> None:
+    def __init__(self, own: home_vms.Vm) -> None:
         self.own = own
-        self.homes: tuple[Home, ...] = (own,)
+        self.homes: tuple[home_vms.Vm, ...] = (own,)
         self._heard_by_vm: dict[str, Heard] = {}
 
     @property
@@ -52,7 +46,7 @@
         """Tell whether the homes lie in more than one failure domain."""
         return len({home.domain for home in self.homes}) > 1
 
-    def set_homes(self, homes: typing.Sequence[Home]) -> bool:
+    def set_homes(self, homes: typing.Sequence[home_vms.Vm]) -> bool:
         """Take the homes in rank order; return whether this VM now owns.
 
         The reports of VMs that are no homes any more are forgotten.
--- a/packages/measure/src/primrosemill/measure/detection_runs.py
+++ b/packages/measure/src/primrosemill/measure/detection_runs.py
@@ -7,8 +7,8 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import detector
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import outcomes
-from primrosemill.decisions import peers
 from primrosemill.decisions import standings
 from primrosemill.measure import detection_rules
 from primrosemill.measure import detection_traces as traces
@@ -79,7 +79,7 @@
     def __init__(self, weight: float) -> None:
         service = service_with(weight)
         homes = [
-            peers.Home(f"vm-{number}", DOMAINS[number % 3])
+            home_vms.Vm(f"vm-{number}", DOMAINS[number % 3])
             for number in range(traces.VMS)
         ]
         self.detectors = [
--- a/tests/builders/detection.py
+++ b/tests/builders/detection.py
@@ -1,13 +1,22 @@
 """Builds detectors, evidence and traffic for tests."""
 
+import hypothesis
+
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import detector
 from primrosemill.decisions import evidence
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import outcomes
-from primrosemill.decisions import peers
 from primrosemill.decisions import standings
-
-DOMAINS = ("ain-sebaa", "hay-riad", "sidi-maarouf")
+from tests.builders import decisions_routing as routing
+
+DOMAINS = routing.DOMAINS
+# A busy machine must not change a verdict, so nothing here is timed.
+PROPERTIES = {
+    "derandomize": True,
+    "deadline": None,
+    "suppress_health_check": [hypothesis.HealthCheck.too_slow],
+}
 GOOD = outcomes.Answered(200, 0.0)
 ERROR = outcomes.Answered(500, 0.0)
 SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
@@ -15,37 +24,15 @@
 TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
 
 
-def instance(number: int, **changes) -> documents.Instance:
-    """Build one instance."""
-    domain = DOMAINS[number % len(DOMAINS)]
-    built = documents.Instance(
-        f"res-{number}", f"127.0.1.{number + 1}", 9000, domain
-    )
-    return built._replace(**changes)
-
-
 def service(count: int = 10, **changes) -> documents.Service:
-    """Build a service of ``count`` instances."""
-    built = documents.Service(
-        name="reservations",
-        revision=1,
-        instances=tuple(instance(number) for number in range(count)),
-        routes=(),
-        slots=3,
-        connections=300,
-        floor=count * 7 // 10,
-        detection_weight=0.8,
-        demand=600.0,
-        cold_start=10.0,
-        probe_path="/health",
-        probe_interval=10.0,
-    )
-    return built._replace(**changes)
+    """Build a service of ``count`` instances that leaves some above floor."""
+    floor = {"floor": count * 7 // 10}
+    return routing.service(count, **(floor | changes))
 
 
-def home(number: int) -> peers.Home:
+def home(number: int) -> home_vms.Vm:
     """Build one home VM; they spread over the failure domains."""
-    return peers.Home(f"vm-{number}", DOMAINS[number % len(DOMAINS)])
+    return home_vms.Vm(f"vm-{number}", DOMAINS[number % len(DOMAINS)])
 
 
 def report(
--- a/tests/decisions/test_ejection.py
+++ b/tests/decisions/test_ejection.py
@@ -4,6 +4,7 @@
 
 from primrosemill.decisions import ejection
 from primrosemill.decisions import standings
+from tests.builders import detection as builders
 
 STATE = standings.State
 IDS = [f"i{number}" for number in range(8)]
@@ -60,7 +61,7 @@
         expected = {"i0": STATE.EJECTED, "i1": STATE.RANKED_LAST}
         self.assertEqual(expected, states)
 
-    @hypothesis.settings(derandomize=True, max_examples=500)
+    @hypothesis.settings(max_examples=500, **builders.PROPERTIES)
     @hypothesis.given(SUSPECTS, CAPACITIES)
     def test_taking_out_never_goes_below_the_floor(self, suspects, known):
         states = ejection.decide(suspects, known)
@@ -79,7 +80,7 @@
             kept = known.usable - known.out_elsewhere - out
             self.assertGreaterEqual(len(kept), known.floor)
 
-    @hypothesis.settings(derandomize=True, max_examples=500)
+    @hypothesis.settings(max_examples=500, **builders.PROPERTIES)
     @hypothesis.given(SUSPECTS, CAPACITIES)
     def test_below_the_floor_nothing_usable_stays_out(self, suspects, known):
         states = ejection.decide(suspects, known)
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -92,7 +92,7 @@
     def test_a_passed_deadline_means_do_not_send(self):
         self.assertFalse(retries.may_send(request(), history(), 10.0))
 
-    @hypothesis.settings(derandomize=True, max_examples=300)
+    @hypothesis.settings(max_examples=300, **builders.PROPERTIES)
     @hypothesis.given(strategies.lists(OUTCOMES, min_size=1, max_size=6))
     def test_only_not_run_is_repeated_unless_idempotent(self, ended):
         decision = self.decide(*ended, idempotent=False)
@@ -102,7 +102,7 @@
         elif isinstance(decision, retries.Finish):
             self.assertFalse(decision.may_have_run)
 
-    @hypothesis.settings(derandomize=True, max_examples=100)
+    @hypothesis.settings(max_examples=100, **builders.PROPERTIES)
     @hypothesis.given(strategies.lists(strategies.integers(0, 20)))
     def test_the_budget_bounds_all_attempts(self, wishes):
         budget = retry_budget.RetryBudget()
