--- /dev/null
+++ b/packages/standins/src/primrosemill/standins/__main__.py
@@ -0,0 +1,111 @@
+"""Runs a stand-in as a process: ``python -m primrosemill.standins NAME``."""
+
+import pathlib
+
+import click
+import trio
+
+from primrosemill.configuration import files
+from primrosemill.standins import asgi
+from primrosemill.standins import instance
+from primrosemill.standins import platform
+from primrosemill.standins import platform_modes as modes
+
+RELOAD_INTERVAL = 0.5  # seconds
+SLOTS = 3
+SERVICE_TIME = 0.02  # seconds
+
+
+class AddressType(click.ParamType):
+    """Takes ``ip:port``; port 0 takes a free one."""
+
+    name = "address"
+
+    def convert(
+        self,
+        value: str,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> asgi.Served:
+        """Return the address in its two parts, or fail."""
+        ip, _, port = value.rpartition(":")
+        if not ip or not port.isdecimal():
+            self.fail(f"{value!r} is no IP number with a port", param, ctx)
+        return asgi.Served(ip, int(port))
+
+
+@click.group()
+def main() -> None:
+    """Run stand-ins for the platform and for backend servers."""
+
+
+@main.command("platform")
+@click.argument("at", metavar="ADDRESS", type=AddressType())
+@click.argument(
+    "path", metavar="FILE", type=click.Path(path_type=pathlib.Path)
+)
+def run_platform(at: asgi.Served, path: pathlib.Path) -> None:
+    """Serve a document file as the configuration service, and no VM list.
+
+    The file is read again when it changes; a file that cannot be read, or
+    none, makes the service answer as one that is down.
+    """
+    trio.run(_run_platform, at, path)
+
+
+async def _run_platform(at: asgi.Served, path: pathlib.Path) -> None:
+    standin = platform.PlatformStandin()
+    standin.mode = modes.Down()
+    async with trio.open_nursery() as nursery:
+        served = await nursery.start(asgi.serve, standin, *at)
+        click.echo(f"platform: {served.address}")
+        read = b""
+        while True:
+            content = await _read(path)
+            if content != read:
+                read = content
+                _publish(standin, content)
+            await trio.sleep(RELOAD_INTERVAL)
+
+
+async def _read(path: pathlib.Path) -> bytes:
+    try:
+        return await trio.Path(path).read_bytes()
+    except OSError:
+        return b""
+
+
+def _publish(standin: platform.PlatformStandin, content: bytes) -> None:
+    decoded = files.decode(content)
+    if not content or decoded.is_error():
+        standin.mode = modes.Down()
+        return
+    standin.mode = modes.Working()
+    standin.publish(decoded.ok.values_by_key)
+
+
+@main.command("instance")
+@click.argument("at", metavar="ADDRESS", type=AddressType())
+@click.option("--id", "instance_id", default="instance", show_default=True)
+@click.option("--slots", default=SLOTS, show_default=True)
+@click.option(
+    "--service-time", default=SERVICE_TIME, show_default=True, help="Seconds."
+)
+def run_instance(
+    at: asgi.Served, instance_id: str, slots: int, service_time: float
+) -> None:
+    """Serve as one instance of a backend server."""
+    standin = instance.InstanceStandin(instance_id, slots, service_time)
+    trio.run(_run_instance, at, standin)
+
+
+async def _run_instance(
+    at: asgi.Served, standin: instance.InstanceStandin
+) -> None:
+    async with trio.open_nursery() as nursery:
+        served = await nursery.start(asgi.serve, standin, *at)
+        click.echo(f"instance: {served.address}")
+
+
+if __name__ == "__main__":
+    main(prog_name="standins")
