--- a/tests/builders/configuration.py
+++ b/tests/builders/configuration.py
@@ -85,3 +85,21 @@
     """Build a checked version."""
     values_by_key = published(*services, version=version, **changes)
     return assembly.assemble(values_by_key[values.INDEX_KEY], values_by_key).ok
+
+
+def published_with_limits(
+    limits_by_caller: dict[str, values.LimitValue], version: int = 1
+) -> dict[str, bytes]:
+    """Build a version whose callers' limits stand in one shard."""
+    shard = {
+        "shard": "all",
+        "revision": version,
+        "limits_by_caller": limits_by_caller,
+    }
+    encoded = msgspec.json.encode(shard)
+    reference = {"revision": version, "digest": values.digest(encoded)}
+    values_by_key = published(
+        version=version, limits_by_shard={"all": reference}
+    )
+    values_by_key[values.limits_key("all", version)] = encoded
+    return values_by_key
