Tell peers at once what goes out of rotation

The exchange waited up to half a second with anything but a drain sign, so peers kept using what one VM had found sick.

--- a/packages/decisions/src/primrosemill/decisions/detector.py
+++ b/packages/decisions/src/primrosemill/decisions/detector.py
@@ -23,7 +23,6 @@
 
 TICK_INTERVAL = 0.1  # seconds between two ticks, as the proxy should run.
 OPINION_INTERVAL = 0.125  # seconds between two requests for an opinion
-REPORTED_SCORE = 1.0  # nats; a lower score is worth no bytes.
 FIRST_COLD_SHARE = 0.2
 COLD_STEPS = 5
 UNREMARKABLE = frozenset({standings.State.IN_ROTATION, standings.State.COLD})
@@ -128,20 +127,18 @@
         self._changed_by_id = {}
         return changed
 
-    def report(self, now: float) -> evidence.Report:
-        """Return this VM's evidence for its peers.
+    def report(self) -> evidence.Report:
+        """Return this VM's evidence on every instance, for its peers.
 
-        Only instances that somebody has something to say about are in it.
+        The exchange sends what changed and what matters.
         """
-        told = set(self._board.scoring(REPORTED_SCORE))
-        told |= self._unsettled(now)
-        told |= self._peers.suspected(now, self._limits.support)
         entries = []
-        for instance_id in sorted(told & self.standings_by_id.keys()):
-            state = self.standings_by_id[instance_id].state
-            entry = self._decider.evidence_of(instance_id, state)
+        for instance_id, standing in self.standings_by_id.items():
+            entry = self._decider.evidence_of(instance_id, standing.state)
+            # Nobody asks whether an instance is well that nobody suspects.
+            well = entry.well and instance_id in self._suspected
             seen = self._drains.seen(instance_id)
-            entries.append(entry._replace(draining=seen))
+            entries.append(entry._replace(draining=seen, well=well))
         own = self._peers.own
         return evidence.Report(
             own.id, own.domain, self._service.name, tuple(entries)
--- a/packages/decisions/src/primrosemill/decisions/peers.py
+++ b/packages/decisions/src/primrosemill/decisions/peers.py
@@ -7,7 +7,7 @@
 from primrosemill.decisions import standings
 
 FRESH = 3.0  # seconds; an older report carries no weight as evidence.
-MOST_DELAY = 1.0  # seconds; a report under way for longer is dropped.
+MOST_DELAY = 5.0  # seconds; the exchange drops a report that is older.
 OUT_STATES = frozenset({standings.State.EJECTED, standings.State.TRIAL})
 
 
--- a/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
@@ -19,6 +19,7 @@
 SEND_INTERVAL = 0.5  # seconds between batches to one peer
 REFRESH_INTERVAL = 2.0  # seconds after which an abnormal score is repeated
 EVIDENCE_AGE = 5.0  # seconds for which a report has weight
+OUT_OF_ROTATION = frozenset({standings.State.AVOIDED, standings.State.EJECTED})
 SCORE_STEP = 0.5  # change of a score that is worth a message
 BYTE_RATE = 6_000.0  # bytes a second that this VM may send
 BYTE_BURST = 6_000.0  # bytes
@@ -68,15 +69,22 @@
     """Tell whether a peer should hear this of an instance."""
     abnormal = new.draining or new.state is not standings.State.IN_ROTATION
     if sent is None:
-        return abnormal or abs(new.score) >= SCORE_STEP
+        return abnormal or new.well or abs(new.score) >= SCORE_STEP
     if new.state != sent.state or new.draining != sent.draining:
         return True
+    if new.well != sent.well:
+        return True
     if abs(new.score - sent.score) >= SCORE_STEP:
         return True
     abnormal = abnormal or abs(new.score) >= SCORE_STEP
     return abnormal and sent_age >= REFRESH_INTERVAL
 
 
+def _is_urgent(each: evidence.InstanceEvidence) -> bool:
+    """Tell whether peers should stop sending work to an instance."""
+    return each.draining or each.state in OUT_OF_ROTATION
+
+
 class Outbox:
     """Chooses what this VM tells each other home VM."""
 
@@ -91,15 +99,15 @@
     def put(self, report: evidence.Report, stamp: int) -> None:
         """Take this VM's newest report on a service; stamp in ms."""
         before = self._reports_by_service.get(report.service)
-        drained = set()
+        told = set()
         if before is not None:
-            drained = {
+            told = {
                 each.instance_id
                 for each in before.report.instances
-                if each.draining
+                if _is_urgent(each)
             }
         for each in report.instances:
-            if each.draining and each.instance_id not in drained:
+            if _is_urgent(each) and each.instance_id not in told:
                 self._urgent_ids.add(report.service)
         self._reports_by_service[report.service] = messages.StampedReport(
             stamp, report
--- a/packages/measure/src/primrosemill/measure/detection_runs.py
+++ b/packages/measure/src/primrosemill/measure/detection_runs.py
@@ -110,7 +110,7 @@
     def exchange(self, now: float, running: list[int]) -> None:
         """Carry the reports between the VMs that run."""
         for vm in running:
-            report = self.detectors[vm].report(now)
+            report = self.detectors[vm].report()
             for other in running:
                 if other != vm:
                     self.detectors[other].heard(report, now)
--- a/tests/decisions/test_drains.py
+++ b/tests/decisions/test_drains.py
@@ -35,10 +35,10 @@
     def test_only_a_sign_of_its_own_is_passed_on(self):
         report = builders.report(1, builders.entry("res-3", draining=True))
         self.driver.detector.heard(report, self.driver.now)
-        own = self.driver.detector.report(self.driver.now)
+        own = self.driver.detector.report()
         self.assertFalse(any(each.draining for each in own.instances))
         self.driver.detector.saw_draining("res-4", self.driver.now)
-        own = self.driver.detector.report(self.driver.now)
+        own = self.driver.detector.report()
         told = [each.instance_id for each in own.instances if each.draining]
         self.assertEqual(["res-4"], told)
 
--- a/tests/fleet/test_evidence_exchange.py
+++ b/tests/fleet/test_evidence_exchange.py
@@ -52,6 +52,18 @@
         self.put(builders.instance_evidence(4, draining=True))
         self.assertEqual(["res-4"], self.take(0.01))
 
+    def test_what_goes_out_of_rotation_does_not_wait(self):
+        self.put(healthy(4, score=2.0))
+        self.assertEqual(["res-4"], self.take(0.0))
+        self.put(builders.instance_evidence(4, state=standings.State.AVOIDED))
+        self.assertEqual(["res-4"], self.take(0.01))
+
+    def test_that_an_instance_is_found_well_is_told(self):
+        self.put(healthy(4, score=2.0))
+        self.take(0.0)
+        self.put(healthy(4, score=2.0)._replace(well=True))
+        self.assertEqual(["res-4"], self.take(1.0))
+
     def test_the_worst_come_first_within_the_byte_budget(self):
         instances = [
             builders.instance_evidence(number, score=float(number + 1))
