--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -32,8 +32,12 @@
 
     on_gone: typing.Callable[[], None] | None
 
-    def abort(self) -> None:
-        """Reset the connection, so that nobody takes the answer as whole."""
+    def reset(self) -> None:
+        """Close so that nobody takes the answer as whole."""
+        ...
+
+    def hold_head(self) -> None:
+        """Send the next bytes together with those after them."""
         ...
 
 
@@ -45,12 +49,12 @@
         send: asgi.Send,
         body: replay.ReplayBody,
         connection: CallerConnection,
-        leaving: typing.Callable[[], bool],
+        closing: typing.Callable[[], bool],
     ) -> None:
         self._send = send
         self._body = body
         self._connection = connection
-        self._leaving = leaving
+        self._closing = closing
         self._scope: trio.CancelScope | None = None
         self.started = False
         self.gone = False
@@ -66,7 +70,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._connection.abort()
+        self._connection.reset()
 
     async def relay(
         self, answer: attempts.Answer, attempt: attempts.Attempt
@@ -74,6 +78,7 @@
         """Pass an answer on; returns what cut it off, or None if whole."""
         self.started = True
         self._note_progress()
+        self._connection.hold_head()
         await self._send(
             asgi.start_message(answer.status, self._headers(answer))
         )
@@ -121,7 +126,7 @@
         )
 
     async def _conclude(self, status: int, lines: asgi.Headers) -> None:
-        if self._leaving():
+        if self._closing():
             lines.append(headers.CLOSE)
         lines.append(headers.EMPTY)
         self.started = True
@@ -148,7 +153,7 @@
     def _headers(self, answer: attempts.Answer) -> asgi.Headers:
         lines = headers.forward(answer.headers, headers.ANSWER_NAMES_DROPPED)
         lines.append(headers.OUTCOME_ANSWERED)
-        if self._leaving():
+        if self._closing():
             lines.append(headers.CLOSE)
         return lines
 
