Serve requests through the fair queue and the slot pool

Cause: the proxy queued requests first come first served whoever sent them, held those that could not be answered in time until their deadline, and routed by a path that an instance may read otherwise.

Change: proxy/dispatch.py carries the decisions of decisions/dispatch.py to the waiting tasks; an alarm wakes them when a rest after a shed is over. A request that can not start before its deadline is refused then, with a time to come back. Paths are checked and refused as bad_path with status 400. The former slot table is gone.

--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -89,6 +89,16 @@
         evicted = joined.evicted.ticket if joined.evicted else None
         return Waiting(waiter.ticket, latest_start, evicted)
 
+    def take_spare(self, wish: Wish, now: float) -> documents.Instance | None:
+        """Take a slot of an instance not tried, if nobody waits for it."""
+        if self._queue:
+            return None
+        return self.pool.acquire(now, wish.excluded, wish.idempotent)
+
+    def retry_after(self, now: float) -> float:
+        """Return when a refused request may come back, in seconds."""
+        return self._queue.retry_after(self.pool.drain_rate(now))
+
     def release(
         self, instance_id: str, held: float, end: pool.End, now: float
     ) -> list[Wakeup]:
--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -34,6 +34,7 @@
     """Why a request was given up before any instance ran it."""
 
     NO_ROUTE = "no_route"
+    BAD_PATH = "bad_path"
     NO_CONFIGURATION = "no_configuration"
     CALLER_LIMIT = "caller_limit"
     QUEUE_FULL = "queue_full"
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -6,8 +6,9 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import paths
 from primrosemill.decisions import routes
-from primrosemill.decisions import slots
+from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import asgi
 from primrosemill.proxy import attempts
 from primrosemill.proxy import callers
@@ -41,6 +42,7 @@
         self._connections = connections.Connections()
         self._dispatchers_by_service: dict[str, dispatch.Dispatcher] = {}
         self._queue_limit = queue_limit
+        self._alarm = alarms.Alarm()
         self._reports = reports.Reports(self._counters)
         self.leaving = False
         self.closing = False
@@ -54,17 +56,21 @@
             if dispatcher is not None:
                 dispatcher.set_service(service)
                 continue
-            table = slots.SlotTable(service, self._generator)
             self._dispatchers_by_service[name] = dispatch.Dispatcher(
-                table, self._queue_limit
+                service, self._generator, self._alarm, self._queue_limit
             )
 
     def keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
-        for dispatcher in self._dispatchers_by_service.values():
-            dispatcher.wake()
+        self._wake()
         self._connections.close_expired()
 
+    async def wake_waiters(self) -> None:
+        """Grant slots at the time when some are free without a release."""
+        while True:
+            await self._alarm.wait()
+            self._wake()
+
     def note_failure(self, error: Exception) -> None:
         """Count and log a fault of the proxy that ended a request."""
         self._reports.note_failure(error)
@@ -94,6 +100,10 @@
         """Return how many requests wait for a slot of a service."""
         return self._dispatchers_by_service[service].waiting
 
+    def _wake(self) -> None:
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.wake()
+
     def _is_closing(self) -> bool:
         return self.closing
 
@@ -107,34 +117,38 @@
         match = self._find(scope)
         if isinstance(match, plugs.Refused):
             return match
-        caller_id = headers.find(scope["headers"], headers.CALLER) or b""
-        refused = self._plugs.admission.admit(caller_id.decode("latin-1"), now)
+        caller_line = headers.find(scope["headers"], headers.CALLER) or b""
+        caller_id = caller_line.decode("latin-1")
+        refused = self._plugs.admission.admit(caller_id, now)
         if refused is not None:
             return refused
         outgoing = _outgoing(scope, body, match.route, now)
         self._plugs.retries.request_started(match.service, now)
-        return await self._exchange(match.service, outgoing, caller)
+        return await self._exchange(match.service, caller_id, outgoing, caller)
 
     def _find(self, scope: asgi.Scope) -> Lookup:
         if self._table is None:
             return plugs.Refused(outcomes.RefusalReason.NO_CONFIGURATION)
+        path = paths.check_path(scope["raw_path"])
+        if path.is_error():
+            return plugs.Refused(outcomes.RefusalReason.BAD_PATH)
         host = headers.find(scope["headers"], b"host") or b""
         match = self._table.find(
-            host.decode("latin-1").partition(":")[0],
-            scope["path"],
-            scope["method"],
+            host.decode("latin-1"), path.ok, scope["method"]
         )
         return match or plugs.Refused(outcomes.RefusalReason.NO_ROUTE)
 
     async def _exchange(
         self,
         service: str,
+        caller_id: str,
         outgoing: attempts.Outgoing,
         caller: callers.Caller,
     ) -> exchange.Ending:
         running = exchange.Exchange(
             flights.Context(
                 service,
+                caller_id,
                 outgoing,
                 self._dispatchers_by_service[service],
                 self._connections,
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -15,12 +15,14 @@
 CONNECTION_KEY = "connection"
 PROGRESS_TIMEOUT = 60.0  # seconds without progress once an answer began
 LINGER_TIMEOUT = 10.0  # seconds that a refused upload is read on
+STATUS_BAD_REQUEST = 400
 STATUS_NO_ROUTE = 404
 STATUS_TOO_MANY_REQUESTS = 429
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
 STATUS_BY_REFUSAL = {
+    outcomes.RefusalReason.BAD_PATH: STATUS_BAD_REQUEST,
     outcomes.RefusalReason.NO_ROUTE: STATUS_NO_ROUTE,
     outcomes.RefusalReason.CALLER_LIMIT: STATUS_TOO_MANY_REQUESTS,
     outcomes.RefusalReason.DEADLINE: STATUS_GATEWAY_TIMEOUT,
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -106,6 +106,7 @@
                     self._callers.run, ip, self._settings.caller_port
                 )
                 nursery.start_soon(self._keep_house)
+                nursery.start_soon(self._application.wake_waiters)
                 collector.settle()
                 self._announce(Ports(caller_port, admin_port), task_status)
         self._application.close()
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -1,99 +1,128 @@
-"""Makes requests wait for a slot of their service, first come first served."""
+"""Makes requests wait for a slot of their service.
 
-import collections
+The decisions are in :mod:`primrosemill.decisions.dispatch`; here each grant
+goes to the task that holds its ticket.
+"""
+
+import random
 
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import pool
+from primrosemill.decisions import queue
+from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
 
-QUEUE_LIMIT = 1000  # requests
+QUEUE_LIMIT = queue.CAPACITY  # requests
+Grant = documents.Instance | plugs.Refused
 
 
 class _Waiter:
-    """A request in the queue, and the instance it was granted."""
+    """A task in the queue, and what it was told."""
+
+    def __init__(self) -> None:
+        self.told = trio.Event()
+        self.grant: Grant | None = None
 
-    def __init__(self, excluded: frozenset[str]) -> None:
-        self.excluded = excluded
-        self.granted = trio.Event()
-        self.instance: documents.Instance | None = None
+    def tell(self, grant: Grant) -> None:
+        """End the wait."""
+        self.grant = grant
+        self.told.set()
 
 
 class Dispatcher:
-    """Grants the slots of one service and queues who finds none."""
+    """Grants the slots of one service and queues who finds none.
+
+    The alarm is set whenever :meth:`wake` is due without a release.
+    """
 
     def __init__(
-        self, table: plugs.SlotTable, queue_limit: int = QUEUE_LIMIT
+        self,
+        service: documents.Service,
+        generator: random.Random,
+        alarm: alarms.Alarm,
+        queue_limit: int = QUEUE_LIMIT,
     ) -> None:
-        self._table = table
-        self._queue_limit = queue_limit
-        self._waiters: collections.deque[_Waiter] = collections.deque()
+        self._dispatch = dispatch.Dispatch(service, generator, queue_limit)
+        self._alarm = alarm
+        self._waiters_by_ticket: dict[int, _Waiter] = {}
+
+    @property
+    def slots(self) -> pool.SlotPool:
+        """Return the slots, to which ranks and standings are told."""
+        return self._dispatch.pool
 
     @property
     def waiting(self) -> int:
         """Return the number of requests in the queue."""
-        return len(self._waiters)
+        return self._dispatch.waiting
 
     def set_service(self, service: documents.Service) -> None:
         """Take a new revision."""
-        self._table.set_service(service)
+        self.slots.set_service(service)
         self.wake()
 
     def wake(self) -> None:
-        """Grant what slots are free to those who wait, in their order.
+        """Grant what slots are free to those who wait.
 
         Call it when a slot may have become free other than by a release,
         for instance as the share of a cold instance grows.
         """
-        while self._waiters:
-            waiter = self._waiters[0]
-            waiter.instance = self._try(waiter.excluded)
-            if waiter.instance is None:
-                return
-            self._waiters.popleft()
-            waiter.granted.set()
-
-    async def acquire(
-        self, excluded: frozenset[str]
-    ) -> documents.Instance | plugs.Refused:
-        """Take a slot, waiting until one is free or the task is cancelled."""
-        if not self._waiters:
-            instance = self._try(excluded)
-            if instance is not None:
-                return instance
-        if len(self._waiters) >= self._queue_limit:
-            return plugs.Refused(outcomes.RefusalReason.QUEUE_FULL)
-        waiter = _Waiter(excluded)
-        self._waiters.append(waiter)
+        if self.waiting:
+            self._tell(self._dispatch.wake(trio.current_time()))
+
+    async def acquire(self, wish: dispatch.Wish) -> Grant:
+        """Take a slot, or wait for one as long as the request can start."""
+        now = trio.current_time()
+        asked = self._dispatch.ask(wish, now)
+        if isinstance(asked, dispatch.Granted):
+            return asked.instance
+        if isinstance(asked, queue.Refused):
+            return plugs.Refused(asked.reason, asked.retry_after)
+        if asked.evicted is not None:
+            reason = outcomes.RefusalReason.QUEUE_FULL
+            evicted = self._waiters_by_ticket.pop(asked.evicted)
+            evicted.tell(self._refuse(reason, now))
+        waiter = self._waiters_by_ticket[asked.ticket] = _Waiter()
+        self._alarm.set(self._dispatch.next_wake(now))
         try:
-            await waiter.granted.wait()
+            with trio.move_on_at(asked.latest_start):
+                await waiter.told.wait()
         except trio.Cancelled:
-            self._leave(waiter)
+            self._leave(asked.ticket, waiter)
             raise
-        return waiter.instance
+        if waiter.grant is None:
+            self._leave(asked.ticket, waiter)
+            now = trio.current_time()
+            return self._refuse(outcomes.RefusalReason.DEADLINE, now)
+        return waiter.grant
 
-    def try_acquire(
-        self, excluded: frozenset[str]
-    ) -> documents.Instance | None:
+    def try_acquire(self, wish: dispatch.Wish) -> documents.Instance | None:
         """Take a slot if one is free now that nobody waits for."""
-        return None if self._waiters else self._table.acquire(excluded)
-
-    def release(self, instance_id: str) -> None:
-        """Give a slot back and grant it to the request that waits longest."""
-        self._table.release(instance_id)
-        self.wake()
-
-    def _try(self, excluded: frozenset[str]) -> documents.Instance | None:
-        instance = self._table.acquire(excluded)
-        if instance is None and excluded:
-            # What a request avoids is a wish: a slot of the instance that
-            # it avoids is better than none.
-            instance = self._table.acquire(frozenset())
-        return instance
-
-    def _leave(self, waiter: _Waiter) -> None:
-        if waiter.instance is not None:
-            self.release(waiter.instance.id)
-            return
-        self._waiters.remove(waiter)
+        return self._dispatch.take_spare(wish, trio.current_time())
+
+    def release(self, instance_id: str, held: float, end: pool.End) -> None:
+        """Give a slot back and grant it to the next request in turn."""
+        now = trio.current_time()
+        self._tell(self._dispatch.release(instance_id, held, end, now))
+
+    def _tell(self, wakeups: list[dispatch.Wakeup]) -> None:
+        for wakeup in wakeups:
+            waiter = self._waiters_by_ticket.pop(wakeup.ticket)
+            waiter.tell(wakeup.instance)
+        self._alarm.set(self._dispatch.next_wake(trio.current_time()))
+
+    def _refuse(
+        self, reason: outcomes.RefusalReason, now: float
+    ) -> plugs.Refused:
+        return plugs.Refused(reason, self._dispatch.retry_after(now))
+
+    def _leave(self, ticket: int, waiter: _Waiter) -> None:
+        """Take a task out of the queue, or give its slot to another."""
+        self._waiters_by_ticket.pop(ticket, None)
+        self._dispatch.leave(ticket)
+        if isinstance(waiter.grant, documents.Instance):
+            self.release(waiter.grant.id, 0.0, pool.End.FAILED)
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -5,6 +5,7 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import attempts
 from primrosemill.proxy import callers
@@ -64,7 +65,9 @@
         """Make attempts until the request is resolved."""
         excluded = ANYWHERE
         while True:
-            instance = await self._context.dispatcher.acquire(excluded)
+            instance = await self._context.dispatcher.acquire(
+                self._wish(excluded)
+            )
             if isinstance(instance, plugs.Refused):
                 return self._unknown or instance
             ending = await self._attempt(instance)
@@ -77,6 +80,15 @@
             excluded = frozenset({instance.id})
             await trio.sleep(decision.pause)
 
+    def _wish(self, excluded: frozenset[str]) -> dispatch.Wish:
+        outgoing = self._context.outgoing
+        return dispatch.Wish(
+            self._context.caller_id,
+            outgoing.deadline,
+            outgoing.idempotent,
+            excluded,
+        )
+
     def _decide(
         self, failure: Failure
     ) -> plugs.Decision | plugs.Refused | outcomes.Unknown:
@@ -149,7 +161,7 @@
 
     def _launch_hedge(self) -> flights.Flight | None:
         excluded = frozenset(each.instance.id for each in self._flights)
-        instance = self._context.dispatcher.try_acquire(excluded)
+        instance = self._context.dispatcher.try_acquire(self._wish(excluded))
         return None if instance is None else self._launch(instance)
 
     async def _relay(
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -6,12 +6,14 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import pool as slot_pools
 from primrosemill.proxy import attempts
 from primrosemill.proxy import connections
 from primrosemill.proxy import dispatch
 from primrosemill.proxy import plugs
 
 CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
+SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
 CANCELLED_UNSENT = outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
 
 
@@ -19,6 +21,7 @@
     """What all attempts of one request share."""
 
     service: str
+    caller_id: str
     outgoing: attempts.Outgoing
     dispatcher: dispatch.Dispatcher
     pool: connections.Connections
@@ -53,8 +56,11 @@
     async def land(self) -> None:
         """Free the slot and the connection, and report the outcome."""
         await self.attempt.close()
-        self._context.dispatcher.release(self.instance.id)
-        self._context.observer.attempt_ended(self._end())
+        end = self._end()
+        self._context.dispatcher.release(
+            self.instance.id, end.elapsed, _end_of_slot(self.ending)
+        )
+        self._context.observer.attempt_ended(end)
 
     def _end(self) -> plugs.AttemptEnd:
         elapsed = trio.current_time() - self._start.started
@@ -74,3 +80,12 @@
         return plugs.AttemptEnd(
             self._start, outcome, None, elapsed, abandoned=True
         )
+
+
+def _end_of_slot(ending: attempts.Ending | None) -> slot_pools.End:
+    """Return what an ending means for the slot that it held."""
+    if isinstance(ending, attempts.Answer):
+        return slot_pools.End.ANSWERED
+    if ending == SHED:
+        return slot_pools.End.SHED
+    return slot_pools.End.FAILED
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -7,7 +7,6 @@
 import enum
 import typing
 
-from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
 
 RETRY_PAUSE = 0.005  # seconds
@@ -30,22 +29,6 @@
         ...
 
 
-class SlotTable(typing.Protocol):
-    """Grants slots of one service's instances without waiting."""
-
-    def set_service(self, service: documents.Service) -> None:
-        """Take a new revision."""
-        ...
-
-    def acquire(self, excluded: frozenset[str]) -> documents.Instance | None:
-        """Take a slot, or return None while none is free."""
-        ...
-
-    def release(self, instance_id: str) -> None:
-        """Give a slot back."""
-        ...
-
-
 class AttemptStart(typing.NamedTuple):
     """An attempt that was begun; times are trio times."""
 
--- a/tests/builders/path.py
+++ b/tests/builders/path.py
@@ -54,6 +54,7 @@
         routes=route_values(deadline),
     )
     made.set_document(configuration.assembled(service).document)
+    nursery.start_soon(made.wake_waiters)
     serving = server.Server(made)
     port = await nursery.start(serving.run, IP, 0)
     return Path(made, serving, port)
--- /dev/null
+++ b/tests/proxy/test_dispatch.py
@@ -0,0 +1,129 @@
+import random
+
+import testtools
+import trio
+import trio.testing
+
+from primrosemill.decisions import dispatch as decisions
+from primrosemill.decisions import outcomes
+from primrosemill.decisions import pool
+from primrosemill.proxy import alarm
+from primrosemill.proxy import dispatch
+from primrosemill.proxy import plugs
+from tests.builders import decisions_routing as builders
+
+SLOTS = 3
+HOLD = 0.05
+
+
+def wish(caller="a", timeout=60.0):
+    return decisions.Wish(caller, trio.current_time() + timeout)
+
+
+class DispatcherTest(testtools.TestCase):
+    def run_under_mock_clock(self, test):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+
+        async def with_dispatcher():
+            self.alarm = alarm.Alarm()
+            self.dispatcher = dispatch.Dispatcher(
+                builders.service(1), random.Random(1), self.alarm, 2
+            )
+            self.grants = []
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.ring)
+                with trio.fail_after(600.0):
+                    await test(nursery)
+                nursery.cancel_scope.cancel()
+
+        trio.run(with_dispatcher, clock=clock)
+
+    async def ring(self):
+        while True:
+            await self.alarm.wait()
+            self.dispatcher.wake()
+
+    async def fill(self):
+        for _ in range(SLOTS):
+            await self.dispatcher.acquire(wish())
+
+    async def take(self, caller="a", timeout=60.0):
+        grant = await self.dispatcher.acquire(wish(caller, timeout))
+        self.grants.append((caller, grant))
+
+    async def queue(self, nursery, *callers):
+        for caller in callers:
+            nursery.start_soon(self.take, caller)
+            await trio.testing.wait_all_tasks_blocked()
+
+    def reason(self, number):
+        return self.grants[number][1].reason
+
+    def test_a_release_wakes_callers_in_turn(self):
+        async def test(nursery):
+            await self.fill()
+            await self.queue(nursery, "a", "b")
+            for _ in range(2):
+                self.dispatcher.release("res-0", HOLD, pool.End.ANSWERED)
+                await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(["a", "b"], [each[0] for each in self.grants])
+
+        self.run_under_mock_clock(test)
+
+    def test_a_shed_wakes_without_another_release(self):
+        async def test(nursery):
+            await self.dispatcher.acquire(wish())
+            self.dispatcher.release("res-0", 0.003, pool.End.SHED)
+            started = trio.current_time()
+            await self.take()
+            self.assertLess(trio.current_time() - started, 1.0)
+            self.assertEqual("res-0", self.grants[0][1].id)
+
+        self.run_under_mock_clock(test)
+
+    def test_a_cancelled_waiter_passes_its_slot_on(self):
+        async def test(nursery):
+            await self.fill()
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as inner:
+                    inner.start_soon(self.take)
+                    await trio.testing.wait_all_tasks_blocked()
+                    scope.cancel()
+                    self.dispatcher.release("res-0", HOLD, pool.End.ANSWERED)
+            self.assertEqual([], self.grants)
+            await self.take("b")
+            self.assertEqual("res-0", self.grants[0][1].id)
+
+        self.run_under_mock_clock(test)
+
+    def test_a_request_is_refused_once_it_can_not_start_in_time(self):
+        async def test(nursery):
+            await self.fill()
+            started = trio.current_time()
+            await self.take(timeout=5.0)
+            self.assertIs(outcomes.RefusalReason.DEADLINE, self.reason(0))
+            waited = trio.current_time() - started
+            self.assertAlmostEqual(5.0 - pool.FIRST_HOLD, waited)
+            self.assertEqual(0, self.dispatcher.waiting)
+
+        self.run_under_mock_clock(test)
+
+    def test_a_greedy_caller_is_evicted_for_another(self):
+        async def test(nursery):
+            await self.fill()
+            await self.queue(nursery, "a", "a", "b")
+            self.assertEqual("a", self.grants[0][0])
+            self.assertIs(outcomes.RefusalReason.QUEUE_FULL, self.reason(0))
+            self.assertIsInstance(self.grants[0][1], plugs.Refused)
+
+        self.run_under_mock_clock(test)
+
+    def test_a_spare_slot_is_taken_only_while_nobody_waits(self):
+        async def test(nursery):
+            self.assertIsNotNone(self.dispatcher.try_acquire(wish()))
+            for _ in range(SLOTS - 1):
+                await self.dispatcher.acquire(wish())
+            await self.queue(nursery, "a")
+            self.assertIsNone(self.dispatcher.try_acquire(wish()))
+
+        self.run_under_mock_clock(test)
