Tell spent retries from a deadline that passed unserved

Cause: test_every_instance_shedding_ends_as_not_run failed once in a full run with 504 in place of 503: a request that was shed each time could also be refused by the queue, as its next attempt could not start before the deadline.

Change: between attempts that were all not run, a refusal for lack of time says retries_spent.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -169,9 +169,7 @@
         if caller.started:
             caller.abort()
             return exchange.Aborted(outcomes.UnknownReason.TIMEOUT)
-        return running.unknown or plugs.Refused(
-            outcomes.RefusalReason.DEADLINE
-        )
+        return running.unknown or plugs.Refused(running.late_reason)
 
 
 async def _conclude(ending: exchange.Ending, caller: callers.Caller) -> None:
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -54,6 +54,7 @@
         self._on_retry = on_retry
         self._attempts = 0
         self._flights: list[flights.Flight] = []
+        self._flying = False
         self._unknown: outcomes.Unknown | None = None
 
     @property
@@ -61,6 +62,16 @@
         """Return why the request may have run, or None if it did not."""
         return self._unknown
 
+    @property
+    def late_reason(self) -> outcomes.RefusalReason:
+        """Return why a request is refused whose time ran out.
+
+        Between attempts that were all not run, its retries are spent.
+        """
+        if self._attempts and not self._flying:
+            return outcomes.RefusalReason.RETRIES_SPENT
+        return outcomes.RefusalReason.DEADLINE
+
     async def run(self) -> Ending:
         """Make attempts until the request is resolved."""
         excluded = ANYWHERE
@@ -69,8 +80,10 @@
                 self._wish(excluded)
             )
             if isinstance(instance, plugs.Refused):
-                return self._unknown or instance
+                return self._unknown or self._refuse(instance)
+            self._flying = True
             ending = await self._attempt(instance)
+            self._flying = False
             if not isinstance(ending, Failure):
                 return ending
             decision = self._decide(ending)
@@ -80,6 +93,11 @@
             excluded = frozenset({instance.id})
             await trio.sleep(decision.pause)
 
+    def _refuse(self, refused: plugs.Refused) -> plugs.Refused:
+        if refused.reason is outcomes.RefusalReason.DEADLINE:
+            return refused._replace(reason=self.late_reason)
+        return refused
+
     def _wish(self, excluded: frozenset[str]) -> dispatch.Wish:
         outgoing = self._context.outgoing
         return dispatch.Wish(
--- /dev/null
+++ b/tests/proxy/test_refusals.py
@@ -0,0 +1,40 @@
+import testtools
+import trio
+
+from primrosemill.proxy import plugs
+from primrosemill.standins import instance
+from tests.builders import path as builders
+
+
+class RetryAtOnce(plugs.RetryUntilDeadline):
+    def decide(self, facts):
+        return plugs.Decision(plugs.Action.RETRY)
+
+
+class RefusalsTest(testtools.TestCase):
+    async def call(self, standin, target, deadline=5.0):
+        async with trio.open_nursery() as nursery:
+            addresses = await builders.start_standins(nursery, [standin])
+            path = await builders.start_path(
+                nursery,
+                addresses,
+                plugs.plain()._replace(retries=RetryAtOnce()),
+                deadline,
+            )
+            response = await builders.call(path, target)
+            nursery.cancel_scope.cancel()
+        self.assertEqual({}, standin.runs_by_tag)
+        return response
+
+    def test_a_confusing_path_is_refused_and_not_run(self):
+        for target in ("/slots/%2e%2e/bookings/new", "/slots%2Ftoday"):
+            standin = instance.InstanceStandin("res-0", 3, 0.0)
+            response = trio.run(self.call, standin, target)
+            self.assertEqual(400, response.status)
+
+    def test_a_request_that_was_only_shed_has_spent_its_retries(self):
+        standin = instance.InstanceStandin("res-0", 0, 0.0)
+        response = trio.run(self.call, standin, builders.ONCE_PATH, 0.5)
+        self.assertEqual(503, response.status)
+        reason = builders.header(response, "x-outcome-reason")
+        self.assertEqual("retries_spent", reason)
