--- a/packages/decisions/src/primrosemill/decisions/paths.py
+++ b/packages/decisions/src/primrosemill/decisions/paths.py
@@ -14,12 +14,14 @@
 import expression
 
 LONGEST_PATH = 8_192  # bytes
-DOT_SEGMENTS = frozenset({".", ".."})
 _BAD_ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
 _BAD_BYTES = re.compile(rb"[\x00-\x20\x7f-\xff\\?#]")
 # An encoded slash, backslash, percent sign or control character.
 _UNSAFE_ESCAPE = re.compile(rb"%(?:2[fF5]|5[cC]|[01][0-9A-Fa-f]|7[fF])")
 
+# Some servers cut a parameter off a segment before they resolve it.
+_DOT_SEGMENT = re.compile(r"/\.\.?(?:;[^/]*)?(?:/|\Z)")
+
 
 class NotAbsolute(typing.NamedTuple):
     """The path does not begin with a slash."""
@@ -75,12 +77,9 @@
         path = urllib.parse.unquote(raw.decode("ascii"), errors="strict")
     except UnicodeDecodeError:
         return expression.Error(BadEscape())
-    segments = path.split("/")[1:]
-    for segment in segments:
-        # Some servers cut a parameter off the segment before they resolve.
-        if segment.partition(";")[0] in DOT_SEGMENTS:
-            return expression.Error(DotSegment())
-    if "" in segments[:-1]:
+    if _DOT_SEGMENT.search(path):
+        return expression.Error(DotSegment())
+    if "//" in path:
         return expression.Error(EmptySegment())
     return expression.Ok(path)
 
