--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -51,14 +51,30 @@
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         self._table = routes.RouteTable(document)
+        before = self._dispatchers_by_service
+        self._dispatchers_by_service = {}
         for name, service in document.services_by_name.items():
-            dispatcher = self._dispatchers_by_service.get(name)
-            if dispatcher is not None:
+            dispatcher = before.get(name)
+            if dispatcher is None:
+                dispatcher = self._make_dispatcher(service)
+            else:
                 dispatcher.set_service(service)
-                continue
-            self._dispatchers_by_service[name] = dispatch.Dispatcher(
-                service, self._generator, self._alarm, self._queue_limit
-            )
+            self._dispatchers_by_service[name] = dispatcher
+
+    def set_ranks(
+        self, service: str, rank_by_instance: dict[str, int]
+    ) -> None:
+        """Take this VM's rank at the instances of a service; 0 leads."""
+        dispatcher = self._dispatchers_by_service.get(service)
+        if dispatcher is not None:
+            dispatcher.set_ranks(rank_by_instance)
+
+    def _make_dispatcher(
+        self, service: documents.Service
+    ) -> dispatch.Dispatcher:
+        return dispatch.Dispatcher(
+            service, self._generator, self._alarm, self._queue_limit
+        )
 
     def keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
@@ -117,9 +133,8 @@
         match = self._find(scope)
         if isinstance(match, plugs.Refused):
             return match
-        caller_line = headers.find(scope["headers"], headers.CALLER) or b""
-        caller_id = caller_line.decode("latin-1")
-        refused = self._plugs.admission.admit(caller_id, now)
+        caller_id = _caller_id(scope)
+        refused = self._plugs.admission.admit(caller_id, match.service, now)
         if refused is not None:
             return refused
         outgoing = _outgoing(scope, body, match.route, now)
@@ -179,6 +194,15 @@
         await caller.tell_unknown(ending)
 
 
+def _caller_id(scope: asgi.Scope) -> str:
+    """Return who calls: its header, or else its IP number."""
+    line = headers.find(scope["headers"], headers.CALLER)
+    if line:
+        return line.decode("latin-1")
+    client = scope.get("client")
+    return client[0] if client else ""
+
+
 def _has_no_body(scope: asgi.Scope) -> bool:
     lines = scope["headers"]
     if headers.find(lines, headers.TRANSFER_ENCODING) is not None:
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -65,6 +65,11 @@
         self.slots.set_service(service)
         self.wake()
 
+    def set_ranks(self, rank_by_instance: dict[str, int]) -> None:
+        """Take this VM's rank at each instance; 0 is the lead."""
+        self.slots.set_ranks(rank_by_instance)
+        self.wake()
+
     def wake(self) -> None:
         """Grant what slots are free to those who wait.
 
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -24,7 +24,7 @@
 class Admission(typing.Protocol):
     """Decides whether a caller may send another request now."""
 
-    def admit(self, caller: str, now: float) -> Refused | None:
+    def admit(self, caller: str, service: str, now: float) -> Refused | None:
         """Return None to let the request in."""
         ...
 
@@ -115,7 +115,7 @@
 class AdmitAll:
     """Lets every request in."""
 
-    def admit(self, caller: str, now: float) -> Refused | None:
+    def admit(self, caller: str, service: str, now: float) -> Refused | None:
         """Return None."""
         return None
 
