--- a/packages/measure/src/primrosemill/measure/_roles.py
+++ b/packages/measure/src/primrosemill/measure/_roles.py
@@ -14,6 +14,7 @@
 import trio
 
 from primrosemill.configuration import values
+from primrosemill.measure import _bare
 from primrosemill.measure import _load
 from primrosemill.proxy import daemon
 from primrosemill.proxy import settings
@@ -48,6 +49,12 @@
     profile: str
 
 
+class BareArguments(typing.TypedDict):
+    """The baseline: the libraries alone before the same instances."""
+
+    addresses: list[str]
+
+
 def _print(line: typing.Any) -> None:
     sys.stdout.write(msgspec.json.encode(line).decode() + "\n")
     sys.stdout.flush()
@@ -82,6 +89,12 @@
             nursery.start_soon(_profile, arguments["profile"])
 
 
+async def _run_bare(arguments: BareArguments) -> None:
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(_bare.serve, arguments["addresses"])
+        _print({"port": port})
+
+
 async def _profile(path: str) -> None:
     import cProfile
 
@@ -140,6 +153,7 @@
     "backend": _run_backend,
     "platform": _run_platform,
     "proxy": _run_proxy,
+    "bare": _run_bare,
     "load": _run_load,
 }
 
--- a/packages/measure/src/primrosemill/measure/latency.py
+++ b/packages/measure/src/primrosemill/measure/latency.py
@@ -1,10 +1,12 @@
 """Measures what one hop through the proxy adds to a request.
 
 A proxy, two stand-in instances, a platform and a load generator run as
-processes of their own. The same generator calls the instances directly and
-through the proxy at the same time, so that both meet the same machine.
+processes of their own, and as a baseline a hop made of the libraries alone.
+The same generator calls the instances directly and through both hops at the
+same time, so that all meet the same machine.
 """
 
+import contextlib
 import time
 import typing
 
@@ -18,71 +20,98 @@
 INSTANCES = 2
 SLOTS = 300
 DIRECT = "direct"
+BARE = "bare"
 PROXIED = "proxied"
 
 
-class Measured(typing.NamedTuple):
-    """The result of one run; processor time in milliseconds a request."""
+class Hop(typing.NamedTuple):
+    """What one hop cost; processor time in milliseconds a request."""
 
-    direct: _load.TargetResult
-    proxied: _load.TargetResult
+    result: _load.TargetResult
     processor: float
     peak_resident: int
 
 
+class Measured(typing.NamedTuple):
+    """The results of one run."""
+
+    direct: _load.TargetResult
+    hops_by_name: dict[str, Hop]
+
+
 def measure(
     rate: float, seconds: float, seed: int, profile: str = ""
 ) -> Measured:
     """Run once; the warm-up comes on top of the given seconds."""
-    backend = {"slots": SLOTS, "service_time": 0.0}
-    with (
-        _children.child("backend", backend | {"id": "i-0"}) as first,
-        _children.child("backend", backend | {"id": "i-1"}) as second,
-    ):
-        addresses = [each.read_line()["address"] for each in (first, second)]
-        platform = {"addresses": addresses, "slots": SLOTS}
-        with _children.child("platform", platform) as store:
-            at = store.read_line()["address"]
-            proxy = {"platform": at, "profile": profile}
-            with _children.child("proxy", proxy) as vm:
-                return _load_both(vm, addresses, rate, seconds, seed)
-
-
-def _load_both(
-    vm: _children.Child,
-    addresses: list[str],
-    rate: float,
-    seconds: float,
-    seed: int,
+    with contextlib.ExitStack() as stack:
+
+        def start(role: str, arguments: typing.Any) -> _children.Child:
+            return stack.enter_context(_children.child(role, arguments))
+
+        backend = {"slots": SLOTS, "service_time": 0.0}
+        instances = [
+            start("backend", backend | {"id": f"i-{number}"})
+            for number in range(INSTANCES)
+        ]
+        addresses = [each.read_line()["address"] for each in instances]
+        store = start("platform", {"addresses": addresses, "slots": SLOTS})
+        at = store.read_line()["address"]
+        hops_by_name = {
+            BARE: start("bare", {"addresses": addresses}),
+            PROXIED: start("proxy", {"platform": at, "profile": profile}),
+        }
+        arguments: _load.LoadArguments = {
+            "addresses_by_target": {DIRECT: addresses}
+            | {
+                name: [f"127.0.0.1:{hop.read_line()['port']}"]
+                for name, hop in hops_by_name.items()
+            },
+            "rate": rate,
+            "seconds": seconds + _load.WARM_UP,
+            "seed": seed,
+        }
+        return _load_all(start("load", arguments), hops_by_name)
+
+
+def _load_all(
+    load: _children.Child, hops_by_name: dict[str, _children.Child]
 ) -> Measured:
-    port = vm.read_line()["port"]
-    arguments: _load.LoadArguments = {
-        "addresses_by_target": {
-            DIRECT: addresses,
-            PROXIED: [f"127.0.0.1:{port}"],
-        },
-        "rate": rate,
-        "seconds": seconds + _load.WARM_UP,
-        "seed": seed,
-    }
-    with _children.child("load", arguments) as load:
-        time.sleep(_load.WARM_UP)
-        before = vm.usage()
-        result = load.read_line()
-        after = vm.usage()
-    processor = (after.processor - before.processor) * 1000
-    return Measured(
-        result[DIRECT],
-        result[PROXIED],
-        processor / result[PROXIED]["requests"],
-        after.peak_resident,
+    time.sleep(_load.WARM_UP)
+    before = {name: hop.usage() for name, hop in hops_by_name.items()}
+    result = load.read_line()
+    measured = {}
+    for name, hop in hops_by_name.items():
+        after = hop.usage()
+        spent = (after.processor - before[name].processor) * 1000
+        measured[name] = Hop(
+            result[name],
+            spent / result[name]["requests"],
+            after.peak_resident,
+        )
+    return Measured(result[DIRECT], measured)
+
+
+def _report(number: int, found: Measured) -> None:
+    direct = found.direct
+    click.echo(
+        f"{number:3}  {DIRECT:8} {direct['p50']:6.2f} {direct['p99']:6.2f}"
+        f"{'':38}{direct['failures']:9}"
     )
+    for name, hop in found.hops_by_name.items():
+        result = hop.result
+        click.echo(
+            f"{number:3}  {name:8} {result['p50']:6.2f} {result['p99']:6.2f} "
+            f"{result['p50'] - direct['p50']:9.2f} "
+            f"{result['p99'] - direct['p99']:6.2f} "
+            f"{hop.processor:9.2f} {hop.peak_resident / 1e6:10.1f} "
+            f"{result['failures']:9}"
+        )
 
 
 @click.command()
 @click.option("--rate", default=TARGET_RATE, help="Requests a second.")
 @click.option("--seconds", default=20.0, help="Length of each run.")
-@click.option("--runs", default=3, help="Runs; each prints a line.")
+@click.option("--runs", default=3, help="Runs; each prints three lines.")
 @click.option("--seed", default=1, help="Seed of the arrivals.")
 @click.option("--profile", default="", help="Write a profile of the proxy.")
 def main(
@@ -90,21 +119,12 @@
 ) -> None:
     """Measure the latency and processor time that a hop adds."""
     click.echo(
-        f"{rate:.0f} requests/s, {seconds:.0f} s a run, seed {seed}; "
-        f"milliseconds; target: {TARGET_ADDED} added at p99"
+        f"{rate:.0f} requests/s to each target, {seconds:.0f} s a run, "
+        f"seed {seed}; milliseconds; target: {TARGET_ADDED} added at p99"
     )
     click.echo(
-        "run  direct p50   p99  proxied p50   p99  "
-        "added p50   p99  cpu/request  resident MB  failures"
+        "run  target      p50    p99  added p50    p99  cpu/req."
+        "  resident MB  failures"
     )
     for number in range(runs):
-        found = measure(rate, seconds, seed + number, profile)
-        direct, proxied = found.direct, found.proxied
-        click.echo(
-            f"{number + 1:3} {direct['p50']:11.2f} {direct['p99']:5.2f} "
-            f"{proxied['p50']:12.2f} {proxied['p99']:5.2f} "
-            f"{proxied['p50'] - direct['p50']:10.2f} "
-            f"{proxied['p99'] - direct['p99']:5.2f} "
-            f"{found.processor:12.2f} {found.peak_resident / 1e6:12.1f} "
-            f"{direct['failures'] + proxied['failures']:9}"
-        )
+        _report(number + 1, measure(rate, seconds, seed + number, profile))
