--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,8 @@
 
 binary: dist/primrosemill
 
+# Files that name folders of this machine or times of the build are left out,
+# so the same sources make the same binary.
 # Our own packages are built from nothing each time: what setuptools and the
 # cache of uv keep of them does not follow a change of a source file.
 dist/primrosemill: requirements/runtime.lock $(SHIPPED_SOURCES) | install
@@ -57,6 +59,9 @@
 		--no-cache --no-deps --no-build-isolation $(SHIPPED)
 	rm -rf $(addsuffix /build,$(SHIPPED))
 	find $(SITE) -depth -type d -name tests -exec rm -r {} +
+	rm -r $(SITE)/bin
+	find $(SITE) \( -name direct_url.json -o -name 'uv_*.json' \
+		-o -name RECORD -o -name .lock \) -delete
 	mkdir -p dist
 	$(BIN)/shiv --site-packages $(SITE) --console-script primrosemill \
 		--output-file $@.new --root '~/.cache/primrosemill' \
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -2,6 +2,7 @@
 
 import click
 
+from primrosemill.cli import addresses
 from primrosemill.cli import check
 from primrosemill.cli import exits
 from primrosemill.cli import proxy
@@ -12,6 +13,7 @@
     proxy.command,
     check.command,
     status.command,
+    addresses.command,
     version.command,
 )
 
--- a/packages/cli/src/primrosemill/cli/status.py
+++ b/packages/cli/src/primrosemill/cli/status.py
@@ -33,7 +33,7 @@
     home VMs and its instances with their state, score and the reason.
     ADDRESS is an IP number with a port.
     """
-    found = vms.ask(address, admin.STATUS_PATH, status.Status)
+    found = vms.ask_for(address, admin.STATUS_PATH, status.Status)
     if name is not None:
         found["services"] = _only(found, name)
     if as_json:
--- a/packages/cli/src/primrosemill/cli/vms.py
+++ b/packages/cli/src/primrosemill/cli/vms.py
@@ -37,20 +37,36 @@
 ADDRESS = AddressType()
 
 
-def ask(address: str, path: str, form: typing.Any) -> typing.Any:
-    """Return a VM's answer in an expected form, or end the command.
-
-    A VM that does not answer as agreed ends it with status 1.
-    """
+def ask(address: str, path: str) -> bounded.Answer:
+    """Return a VM's answer of any status, or end the command with 1."""
     result = trio.run(_get, address, path)
     if result.is_error():
-        _stop(address, result.error)
-    if result.ok.status != STATUS_OK:
-        _stop(address, interfaces.Refused(path, result.ok.status))
+        stop(address, result.error)
+    return result.ok
+
+
+def ask_for(address: str, path: str, form: typing.Any) -> typing.Any:
+    """Return a VM's answer in an expected form, or end the command with 1."""
+    return expect(address, path, ask(address, path), form)
+
+
+def expect(
+    address: str, path: str, answer: bounded.Answer, form: typing.Any
+) -> typing.Any:
+    """Return the content of a good answer, or end the command with 1."""
+    if answer.status != STATUS_OK:
+        stop(address, interfaces.Refused(path, answer.status))
+    return decode(address, path, answer, form)
+
+
+def decode(
+    address: str, path: str, answer: bounded.Answer, form: typing.Any
+) -> typing.Any:
+    """Return the content of an answer, or end the command with 1."""
     try:
-        return msgspec.json.decode(result.ok.content, type=form)
+        return msgspec.json.decode(answer.content, type=form)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        _stop(address, interfaces.BadAnswer(path, str(error)))
+        stop(address, interfaces.BadAnswer(path, str(error)))
 
 
 async def _get(address: str, path: str) -> bounded.AnswerResult:
@@ -61,7 +77,8 @@
         await client.aclose()
 
 
-def _stop(address: str, fault: interfaces.PlatformFault) -> typing.NoReturn:
+def stop(address: str, fault: interfaces.PlatformFault) -> typing.NoReturn:
+    """End the command with 1 for a VM that did not answer as agreed."""
     detail = ", ".join(
         f"{name}={value!r}" for name, value in fault._asdict().items()
     )
