--- a/packages/measure/src/primrosemill/measure/demo.py
+++ b/packages/measure/src/primrosemill/measure/demo.py
@@ -55,8 +55,11 @@
             )
             watch = demo_watch.Watch(fleet)
             nursery.start_soon(watch.run)
+            told = await demo_callers.ask_addresses(fleet)
+            used = {addresses[0] for addresses in told.values()}
+            self._say(f"{len(told)} callers were told of {len(used)} VMs")
             callers = demo_callers.Callers(
-                fleet.caller_addresses, demo_callers.RATE, f"c{self._seed}"
+                told, demo_callers.RATE, f"c{self._seed}"
             )
             async with trio.open_nursery() as calling:
                 calling.start_soon(callers.run)
@@ -78,7 +81,7 @@
         await trio.sleep(SETTLING_SECONDS)
         self._begin("all well", "all instances are well")
         direct = demo_callers.Callers(
-            fleet.instance_addresses,
+            {address: [address] for address in fleet.instance_addresses},
             demo_callers.DIRECT_RATE,
             f"d{self._seed}",
         )
--- a/packages/measure/src/primrosemill/measure/demo_callers.py
+++ b/packages/measure/src/primrosemill/measure/demo_callers.py
@@ -3,12 +3,15 @@
 import itertools
 import random
 import typing
+import urllib.parse
 
 import httpcore
+import msgspec
 import trio
 
 from primrosemill.measure import demo_fleet
 from primrosemill.proofs import history
+from primrosemill.proxy import addresses
 
 RATE = 60.0  # requests a second through the fleet
 DIRECT_RATE = 10.0  # requests a second straight to the instances
@@ -16,6 +19,8 @@
 PATIENCE = 10.0  # seconds; longer than any deadline of the fleet
 LIMITS = dict.fromkeys(("connect", "read", "write", "pool"), PATIENCE)
 OUTCOME = b"x-outcome"
+CALLERS = tuple(f"desk-{number}" for number in range(9))
+AddressesByCaller = dict[str, list[str]]
 
 
 class Met(typing.NamedTuple):
@@ -26,14 +31,33 @@
     elapsed: float
 
 
+async def ask_addresses(fleet: demo_fleet.Fleet) -> AddressesByCaller:
+    """Ask VMs which addresses each caller should use."""
+    told_by_caller: AddressesByCaller = {}
+    async with httpcore.AsyncConnectionPool() as pool:
+        for number, caller in enumerate(CALLERS):
+            known = fleet.caller_addresses[number % demo_fleet.VMS]
+            domain = demo_fleet.DOMAINS[number % len(demo_fleet.DOMAINS)]
+            question = addresses.Question(demo_fleet.SERVICE, caller, domain)
+            query = urllib.parse.urlencode(question._asdict())
+            answer = await pool.request(
+                "GET", f"http://{known}{addresses.PATH}?{query}"
+            )
+            told = msgspec.json.decode(
+                answer.content, type=addresses.AddressAnswer
+            )
+            told_by_caller[caller] = told["addresses"]
+    return told_by_caller
+
+
 class Callers:
     """Sends requests at random times, whether answers come or not."""
 
     def __init__(
-        self, addresses: typing.Sequence[str], rate: float, seed: str
+        self, addresses_by_caller: AddressesByCaller, rate: float, seed: str
     ) -> None:
         self.met: list[Met] = []
-        self._addresses = itertools.cycle(addresses)
+        self._callers = itertools.cycle(addresses_by_caller.items())
         self._rate = rate
         self._seed = seed
         self._generator = random.Random(seed)
@@ -63,13 +87,14 @@
         expected = f"{tag} {demo_fleet.SERVICE}-".encode()
         # The instance's number, one digit, follows what is expected.
         call = history.Call(tag, idempotent, expected, len(expected) + 1)
+        caller, told = next(self._callers)
         started = trio.current_time()
         try:
             response = await pool.request(
                 "GET" if idempotent else "POST",
-                f"http://{next(self._addresses)}"
+                f"http://{told[0]}"
                 + ("/slots" if idempotent else "/bookings"),
-                headers={"x-request-id": tag, "x-caller-id": self._seed},
+                headers={"x-request-id": tag, "x-caller-id": caller},
                 extensions={"timeout": LIMITS},
             )
         except (
--- a/packages/measure/src/primrosemill/measure/demo_fleet.py
+++ b/packages/measure/src/primrosemill/measure/demo_fleet.py
@@ -64,46 +64,45 @@
     vms_ips = [f"127.0.2.{number + 1}" for number in range(VMS)]
     store.vms.extend(_vm_lines(vms_ips))
     at = await nursery.start(asgi.serve, store, PLATFORM_IP)
-    caller_port = _free_port(vms_ips)
-    peer_port = _free_port(vms_ips)
+    started_by_id = await _start_vms(nursery, seed, vms_ips, at.address)
+    vm_ids = sorted(started_by_id)
+    return Fleet(
+        store,
+        instances_by_id,
+        tuple(instance_addresses),
+        {vm_id: started_by_id[vm_id].vm for vm_id in vm_ids},
+        tuple(started_by_id[vm_id].caller_address for vm_id in vm_ids),
+    )
+
+
+async def _start_vms(
+    nursery: trio.Nursery, seed: int, ips: list[str], platform_address: str
+) -> dict[str, StartedVm]:
+    """Start VMs together, since each waits a while for the others."""
+    caller_port = _free_port(ips)
+    peer_port = _free_port(ips)
     started_by_id: dict[str, StartedVm] = {}
-    # VMs wait for each other at their start, so they start together.
+
+    async def start_vm(made: settings.Settings) -> None:
+        vm = daemon.Daemon(made, random.Random(f"{seed}/{made.vm_id}"))
+        ports = await nursery.start(vm.run)
+        address = f"{made.ip}:{ports.caller_port}"
+        started_by_id[made.vm_id] = StartedVm(vm, address)
+
     async with trio.open_nursery() as starting:
-        for number, ip in enumerate(vms_ips):
+        for number, ip in enumerate(ips):
             made = settings.Settings(
                 FLEET,
                 f"entry-{number}",
                 ip,
                 _domain(number),
-                at.address,
+                platform_address,
                 caller_port,
                 ANY_PORT,
                 peer_port,
             )
-            generator = random.Random(f"{seed}/{number}")
-            starting.start_soon(
-                _start_vm, nursery, made, generator, started_by_id
-            )
-    vm_ids = sorted(started_by_id)
-    return Fleet(
-        store,
-        instances_by_id,
-        tuple(instance_addresses),
-        {vm_id: started_by_id[vm_id].vm for vm_id in vm_ids},
-        tuple(started_by_id[vm_id].caller_address for vm_id in vm_ids),
-    )
-
-
-async def _start_vm(
-    nursery: trio.Nursery,
-    made: settings.Settings,
-    generator: random.Random,
-    started_by_id: dict[str, StartedVm],
-) -> None:
-    vm = daemon.Daemon(made, generator)
-    ports = await nursery.start(vm.run)
-    address = f"{made.ip}:{ports.caller_port}"
-    started_by_id[made.vm_id] = StartedVm(vm, address)
+            starting.start_soon(start_vm, made)
+    return started_by_id
 
 
 def _make_instances() -> dict[str, instance.InstanceStandin]:
