Wire detection and the retry budget into the proxy

The HTTP path told its attempts to nobody and retried until the deadline. Detectors now hear of each attempt at its start, at the first byte of its answer and at its end, and tick beside the exchange of reports; retries and hedges come out of a budget for each service, and a shed request waits for the budget in place of another attempt.

--- a/packages/decisions/src/primrosemill/decisions/hedging.py
+++ b/packages/decisions/src/primrosemill/decisions/hedging.py
@@ -30,6 +30,13 @@
             self._next_refresh = now + 1.0
             self._baseline.refresh(now)
 
+    @property
+    def usual_delay(self) -> float | None:
+        """Return the service's delay in seconds, or None while unknown."""
+        if not self._baseline.known:
+            return None
+        return max(LEAST_DELAY, self._baseline.high)
+
     def delay(self, request: retries.Request, now: float) -> float | None:
         """Return after how many seconds to hedge, or None for never.
 
@@ -38,10 +45,8 @@
         """
         if not request.idempotent or not request.replayable:
             return None
-        if not self._baseline.known:
-            return None
-        delay = max(LEAST_DELAY, self._baseline.high)
-        if now + delay >= request.deadline:
+        delay = self.usual_delay
+        if delay is None or now + delay >= request.deadline:
             return None
         return delay
 
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/budgets.py
@@ -0,0 +1,63 @@
+"""Carries the facts of requests to the retry decisions, by service."""
+
+from primrosemill.decisions import hedging
+from primrosemill.decisions import retries
+from primrosemill.decisions import retry_budget
+from primrosemill.proxy import plugs
+
+ACTIONS: dict[type, plugs.Action] = {
+    retries.Again: plugs.Action.RETRY,
+    retries.Wait: plugs.Action.WAIT,
+}
+
+
+class BudgetedRetries:
+    """Retries and hedges within a budget for each service."""
+
+    def __init__(self) -> None:
+        self._budgets_by_service: dict[str, retry_budget.RetryBudget] = {}
+        self._hedging_by_service: dict[str, hedging.Hedging] = {}
+
+    def request_started(self, service: str, now: float) -> None:
+        """Count a request, which earns a share of a retry."""
+        self._budget(service).earn()
+
+    def answered(self, service: str, elapsed: float, now: float) -> None:
+        """Note how long an instance took to answer, in seconds."""
+        self._hedging(service).answered(elapsed, now)
+
+    def decide(self, facts: plugs.RetryFacts) -> plugs.Decision:
+        """Decide after an attempt that brought no answer."""
+        request = retries.Request(facts.idempotent, facts.deadline)
+        last = retries.note(retries.History(), facts.outcome)
+        history = last._replace(attempts=facts.attempts)
+        budget = self._budget(facts.service)
+        decision = retries.decide(request, history, budget, facts.now)
+        action = ACTIONS.get(type(decision))
+        if action is not None:
+            return plugs.Decision(action, decision.pause)
+        return plugs.Decision(
+            plugs.Action.GIVE_UP,
+            reason=decision.reason,
+            retry_after=decision.retry_after,
+        )
+
+    def hedge_delay(self, service: str, now: float) -> float | None:
+        """Return after how long a second attempt may start, or None."""
+        budget = self._budget(service)
+        if budget.left < 1.0 + hedging.RESERVED:
+            return None
+        return self._hedging(service).usual_delay
+
+    def hedge_started(self, service: str) -> bool:
+        """Take a hedge out of the budget; False forbids it."""
+        budget = self._budget(service)
+        return budget.left >= 1.0 + hedging.RESERVED and budget.spend()
+
+    def _budget(self, service: str) -> retry_budget.RetryBudget:
+        return self._budgets_by_service.setdefault(
+            service, retry_budget.RetryBudget()
+        )
+
+    def _hedging(self, service: str) -> hedging.Hedging:
+        return self._hedging_by_service.setdefault(service, hedging.Hedging())
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -9,6 +9,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import addresses as decided_addresses
 from primrosemill.decisions import homes
+from primrosemill.decisions import standings
 from primrosemill.fleet import node
 from primrosemill.platform import interfaces
 from primrosemill.platform import over_http
@@ -18,8 +19,10 @@
 from primrosemill.proxy import application
 from primrosemill.proxy import asgi
 from primrosemill.proxy import assignments
+from primrosemill.proxy import budgets
 from primrosemill.proxy import collector
 from primrosemill.proxy import counters
+from primrosemill.proxy import detection
 from primrosemill.proxy import directory
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
@@ -47,18 +50,14 @@
 class Parts(typing.NamedTuple):
     """What other libraries bring to a VM; each has a plain default."""
 
-    decisions: plugs.Plugs
-    sources: status.Sources
     on_document: typing.Callable[[documents.Document], None]
     on_leaving: typing.Callable[[], None]
     on_assignment: assignments.OnChange
 
 
 def plain_parts() -> Parts:
-    """Return parts that decide nothing."""
+    """Return parts that do nothing."""
     return Parts(
-        plugs.plain(),
-        status.NoSources(),
         lambda document: None,
         lambda: None,
         lambda assignment: None,
@@ -83,9 +82,13 @@
         own = homes.Vm(settings.vm_id, settings.domain)
         self._assignments = assignments.Assignments(own, self._set_assignment)
         self._admission = admission.LimitCallers(self._assignments)
+        self._retries = budgets.BudgetedRetries()
+        self._detection = detection.Detection(
+            own, self._set_standing, self._retries.answered
+        )
         self._application = application.Application(
             generator,
-            self._parts.decisions._replace(admission=self._admission),
+            plugs.Plugs(self._admission, self._detection, self._retries),
             counts,
             settings.waiting_requests,
         )
@@ -143,6 +146,7 @@
                 nursery.start_soon(self._keep_house)
                 nursery.start_soon(self._application.wake_waiters)
                 nursery.start_soon(self._keep_homes)
+                nursery.start_soon(self._detection.run, self.peers.node)
                 collector.settle()
                 self._announce(
                     Ports(caller_port, admin_port, peer_port), task_status
@@ -205,7 +209,7 @@
                 service,
                 self._application.waiting(service.name),
                 [vm.id for vm in self._assignments.homes(service.name)],
-                self._parts.sources,
+                self._detection,
             )
             for service in document.services_by_name.values()
         ]
@@ -244,11 +248,18 @@
         self._application.set_ranks(
             assignment.service, assignment.rank_by_instance
         )
+        self._detection.set_assignment(assignment)
         self._parts.on_assignment(assignment)
 
+    def _set_standing(
+        self, service: str, instance_id: str, standing: standings.Standing
+    ) -> None:
+        self._application.set_standing(service, instance_id, standing)
+
     def _set_document(self, document: documents.Document) -> None:
         self._admission.set_document(document)
         self._application.set_document(document)
+        self._detection.set_document(document)
         self._parts.on_document(document)
         self._assignments.set_document(document)
         collector.spare_new()
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -86,12 +86,23 @@
             self._flying = False
             if not isinstance(ending, Failure):
                 return ending
-            decision = self._decide(ending)
-            if isinstance(decision, plugs.Refused | outcomes.Unknown):
-                return decision
+            given_up = await self._pause_after(ending)
+            if given_up is not None:
+                return given_up
             self._on_retry(ending)
             excluded = frozenset({instance.id})
+
+    async def _pause_after(
+        self, failure: Failure
+    ) -> plugs.Refused | outcomes.Unknown | None:
+        """Wait until the next attempt may start, or return why none may."""
+        while True:
+            decision = self._decide(failure)
+            if isinstance(decision, plugs.Refused | outcomes.Unknown):
+                return decision
             await trio.sleep(decision.pause)
+            if decision.action is plugs.Action.RETRY:
+                return None
 
     def _refuse(self, refused: plugs.Refused) -> plugs.Refused:
         if refused.reason is outcomes.RefusalReason.DEADLINE:
@@ -128,7 +139,9 @@
             )
         decision = self._retries.decide(self._facts(failure))
         if decision.action is plugs.Action.GIVE_UP:
-            return self._unknown or plugs.Refused(decision.reason)
+            return self._unknown or plugs.Refused(
+                decision.reason, decision.retry_after
+            )
         return decision
 
     def _facts(self, failure: Failure) -> plugs.RetryFacts:
@@ -182,6 +195,8 @@
         )
 
     def _launch_hedge(self) -> flights.Flight | None:
+        if not self._retries.hedge_started(self._context.service):
+            return None
         excluded = frozenset(each.instance.id for each in self._flights)
         instance = self._context.dispatcher.try_acquire(self._wish(excluded))
         return None if instance is None else self._launch(instance)
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -51,6 +51,10 @@
     async def run(self) -> attempts.Ending:
         """Send the attempt and read the start of its answer."""
         self.ending = await self.attempt.run()
+        if isinstance(self.ending, attempts.Answer):
+            self._context.observer.attempt_answered(
+                self._start, self.ending.status
+            )
         return self.ending
 
     async def land(self) -> None:
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -61,6 +61,10 @@
         """Note an attempt in flight, whose age is evidence of a stall."""
         ...
 
+    def attempt_answered(self, start: AttemptStart, status: int) -> None:
+        """Note that an instance began to answer; the end comes later."""
+        ...
+
     def attempt_ended(self, end: AttemptEnd) -> None:
         """Note how an attempt ended."""
         ...
@@ -70,6 +74,7 @@
     """What follows an attempt that brought no answer."""
 
     RETRY = "retry"
+    WAIT = "wait"  # Ask again after the pause; no attempt until then.
     GIVE_UP = "give_up"
 
 
@@ -85,11 +90,12 @@
 
 
 class Decision(typing.NamedTuple):
-    """What to do next; the pause is in seconds."""
+    """What to do next; the pause and ``retry_after`` are in seconds."""
 
     action: Action
     pause: float = 0.0
     reason: outcomes.RefusalReason = outcomes.RefusalReason.RETRIES_SPENT
+    retry_after: float = RETRY_AFTER
 
 
 class RetryPolicy(typing.Protocol):
@@ -111,6 +117,10 @@
         """Return after how long a second attempt may start, or None."""
         ...
 
+    def hedge_started(self, service: str) -> bool:
+        """Count a hedge that is about to start; False forbids it."""
+        ...
+
 
 class AdmitAll:
     """Lets every request in."""
@@ -126,6 +136,9 @@
     def attempt_started(self, start: AttemptStart) -> None:
         """Ignore the attempt."""
 
+    def attempt_answered(self, start: AttemptStart, status: int) -> None:
+        """Ignore the answer."""
+
     def attempt_ended(self, end: AttemptEnd) -> None:
         """Ignore the attempt."""
 
@@ -147,6 +160,10 @@
         """Return None: never hedge."""
         return None
 
+    def hedge_started(self, service: str) -> bool:
+        """Return True: there is no budget."""
+        return True
+
 
 class Plugs(typing.NamedTuple):
     """The decisions that one application uses."""
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -64,6 +64,9 @@
     def attempt_started(self, start):
         pass
 
+    def attempt_answered(self, start, status):
+        pass
+
     def attempt_ended(self, end):
         self.ends.append(end)
         self.ended.set()
