--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -8,6 +8,7 @@
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import paths
 from primrosemill.decisions import routes
+from primrosemill.decisions import standings
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import asgi
 from primrosemill.proxy import attempts
@@ -69,6 +70,14 @@
         if dispatcher is not None:
             dispatcher.set_ranks(rank_by_instance)
 
+    def set_standing(
+        self, service: str, instance_id: str, standing: standings.Standing
+    ) -> None:
+        """Take what is thought of an instance of a service."""
+        dispatcher = self._dispatchers_by_service.get(service)
+        if dispatcher is not None:
+            dispatcher.set_standing(instance_id, standing)
+
     def _make_dispatcher(
         self, service: documents.Service
     ) -> dispatch.Dispatcher:
@@ -78,7 +87,9 @@
 
     def keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
-        self._wake()
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.ramp_up()
+            dispatcher.wake()
         self._connections.close_expired()
 
     async def wake_waiters(self) -> None:
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -13,6 +13,8 @@
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
 from primrosemill.decisions import queue
+from primrosemill.decisions import ramp
+from primrosemill.decisions import standings
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
 
@@ -48,6 +50,9 @@
     ) -> None:
         self._dispatch = dispatch.Dispatch(service, generator, queue_limit)
         self._alarm = alarm
+        self._ramp = ramp.Ramp(service)
+        self._standings_by_id: dict[str, standings.Standing] = {}
+        self._cold_ids: set[str] = set()
         self._waiters_by_ticket: dict[int, _Waiter] = {}
 
     @property
@@ -63,6 +68,11 @@
     def set_service(self, service: documents.Service) -> None:
         """Take a new revision."""
         self.slots.set_service(service)
+        self._ramp.set_service(service, trio.current_time())
+        kept_ids = {each.id for each in service.instances}
+        for instance_id in set(self._standings_by_id) - kept_ids:
+            del self._standings_by_id[instance_id]
+        self.ramp_up()
         self.wake()
 
     def set_ranks(self, rank_by_instance: dict[str, int]) -> None:
@@ -70,6 +80,26 @@
         self.slots.set_ranks(rank_by_instance)
         self.wake()
 
+    def set_standing(
+        self, instance_id: str, standing: standings.Standing
+    ) -> None:
+        """Take what is thought of an instance; back from trial it is cold."""
+        before = self._standings_by_id.get(instance_id, standings.HEALTHY)
+        self._standings_by_id[instance_id] = standing
+        returned = before.state is standings.State.TRIAL
+        if returned and standing.state is standings.State.IN_ROTATION:
+            self._ramp.note_return(instance_id, trio.current_time())
+        self._apply(instance_id)
+        self.ramp_up()
+        self.wake()
+
+    def ramp_up(self) -> None:
+        """Let the shares of cold instances grow; call it now and then."""
+        cold_ids = set(self._ramp.cold(trio.current_time()))
+        for instance_id in cold_ids | self._cold_ids:
+            self._apply(instance_id)
+        self._cold_ids = cold_ids
+
     def wake(self) -> None:
         """Grant what slots are free to those who wait.
 
@@ -114,6 +144,13 @@
         now = trio.current_time()
         self._tell(self._dispatch.release(instance_id, held, end, now))
 
+    def _apply(self, instance_id: str) -> None:
+        standing = self._standings_by_id.get(instance_id, standings.HEALTHY)
+        now = trio.current_time()
+        self.slots.set_standing(
+            instance_id, self._ramp.apply(instance_id, standing, now)
+        )
+
     def _tell(self, wakeups: list[dispatch.Wakeup]) -> None:
         for wakeup in wakeups:
             waiter = self._waiters_by_ticket.pop(wakeup.ticket)
--- a/tests/proxy/test_dispatch.py
+++ b/tests/proxy/test_dispatch.py
@@ -7,6 +7,7 @@
 from primrosemill.decisions import dispatch as decisions
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
+from primrosemill.decisions import standings
 from primrosemill.proxy import alarm
 from primrosemill.proxy import dispatch
 from primrosemill.proxy import plugs
@@ -30,6 +31,7 @@
                 builders.service(1), random.Random(1), self.alarm, 2
             )
             self.grants = []
+            self.taken = []
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.ring)
                 with trio.fail_after(600.0):
@@ -43,9 +45,10 @@
             await self.alarm.wait()
             self.dispatcher.wake()
 
-    async def fill(self):
-        for _ in range(SLOTS):
-            await self.dispatcher.acquire(wish())
+    async def fill(self, count=SLOTS):
+        for _ in range(count):
+            grant = await self.dispatcher.acquire(wish())
+            self.taken.append(grant.id)
 
     async def take(self, caller="a", timeout=60.0):
         grant = await self.dispatcher.acquire(wish(caller, timeout))
@@ -118,6 +121,37 @@
 
         self.run_under_mock_clock(test)
 
+    def test_a_new_instance_ramps_up_to_all_its_slots(self):
+        async def test(nursery):
+            self.dispatcher.set_service(builders.service(4))
+            await self.fill()
+            cold = {"res-1", "res-2", "res-3"}
+            # Three of four are new: nobody could carry the rest.
+            self.assertNotEqual(set(), cold & set(self.taken))
+            await trio.sleep(builders.service().cold_start)
+            self.dispatcher.set_service(builders.service(5))
+            await self.fill(4 * SLOTS + 1 - SLOTS)
+            self.assertEqual(1, self.taken.count("res-4"))
+            await trio.sleep(builders.service().cold_start)
+            self.dispatcher.ramp_up()
+            await self.fill(SLOTS - 1)
+            self.assertEqual(SLOTS, self.taken.count("res-4"))
+
+        self.run_under_mock_clock(test)
+
+    def test_an_instance_back_from_trial_is_cold(self):
+        async def test(nursery):
+            self.dispatcher.set_service(builders.service(3))
+            await trio.sleep(builders.service().cold_start)
+            for state in (standings.State.TRIAL, standings.State.IN_ROTATION):
+                self.dispatcher.set_standing(
+                    "res-1", standings.Standing(state)
+                )
+            await self.fill(2 * SLOTS + 1)
+            self.assertEqual(1, self.taken.count("res-1"))
+
+        self.run_under_mock_clock(test)
+
     def test_a_spare_slot_is_taken_only_while_nobody_waits(self):
         async def test(nursery):
             self.assertIsNotNone(self.dispatcher.try_acquire(wish()))
