Test what the proxy tells its detectors; let untried instances return

A service whose requests may not be repeated has nothing to try an instance with, so an instance that went out there never came back. After 30 s without a request to try it with it returns step by step.

--- a/packages/decisions/src/primrosemill/decisions/returns.py
+++ b/packages/decisions/src/primrosemill/decisions/returns.py
@@ -15,6 +15,9 @@
 TRIAL_FAIL = 3.0  # nats
 TRIAL_MIN = 4  # answers before a trial passes
 TRIAL_SPAN = 1.0  # seconds that a trial lasts at least, for each flap
+# Where no idempotent request comes, nothing can be tried; the capacity then
+# comes back by itself, and what is still sick is soon out for longer.
+TRIAL_PATIENCE = 30.0  # seconds
 TRIAL_LONGEST_SPAN = 10.0  # seconds
 RAMP = 5.0  # seconds from the first share to the whole
 FIRST_SHARE = 0.2
@@ -93,11 +96,14 @@
     """
     if record.trial_sum + age_evidence >= TRIAL_FAIL:
         return TrialEnd(False)
+    lasted = now - record.trial_start
+    if record.trial_count == 0 and age_evidence <= 0.0:
+        return TrialEnd(True) if lasted >= TRIAL_PATIENCE else None
     span = min(TRIAL_LONGEST_SPAN, TRIAL_SPAN * record.flaps)
     if (
         record.trial_sum <= TRIAL_PASS
         and record.trial_count >= TRIAL_MIN
-        and now - record.trial_start >= span
+        and lasted >= span
     ):
         return TrialEnd(True)
     return None
--- a/tests/decisions/test_detector.py
+++ b/tests/decisions/test_detector.py
@@ -192,6 +192,28 @@
         self.run_trial(driver, 0.5)
         self.assertIn(driver.state(3), (STATE.AVOIDED, STATE.TRIAL))
 
+    def test_what_nothing_can_try_comes_back_by_itself(self):
+        driver = self.driver()
+        driver.run(1.0, {"res-3": None})
+        driver.run(3.0)
+        self.assertEqual(STATE.TRIAL, driver.state(3))
+        driver.run(31.0)
+        self.assertEqual(STATE.IN_ROTATION, driver.state(3))
+
+    def test_each_return_to_sickness_lengthens_the_time_out(self):
+        driver = self.driver()
+        spans = []
+        for _ in range(3):
+            driver.run(1.0, {"res-3": None})
+            self.assertEqual(STATE.AVOIDED, driver.state(3))
+            out_since = driver.now
+            while driver.state(3) is STATE.AVOIDED:
+                driver.run(0.1)
+            spans.append(driver.now - out_since)
+            driver.run(31.0)
+        self.assertGreater(spans[1], 1.5 * spans[0])
+        self.assertGreater(spans[2], 1.5 * spans[1])
+
     def run_trial(self, driver, latency):
         shares = []
         for _ in range(150):
--- /dev/null
+++ b/tests/proxy/test_detection.py
@@ -0,0 +1,206 @@
+import testtools
+import trio
+import trio.testing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import detector
+from primrosemill.decisions import outcomes
+from primrosemill.decisions import standings
+from primrosemill.proxy import assignments
+from primrosemill.proxy import budgets
+from primrosemill.proxy import detection
+from primrosemill.proxy import plugs
+from tests.builders import detection as builders
+
+STATE = standings.State
+SERVICE = "reservations"
+CLOSED = outcomes.Unknown(outcomes.UnknownReason.CLOSED)
+
+
+class RecordedExchange:
+    """Carries reports by hand."""
+
+    def __init__(self):
+        self.sent = []
+        self.received = []
+
+    def put_report(self, report):
+        self.sent.append(report)
+
+    def reports(self, service):
+        return self.received
+
+
+class DetectionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = trio.testing.MockClock()
+        self.exchange = RecordedExchange()
+        self.states_by_id = {}
+        self.latencies = []
+
+    def run_async(self, function):
+        trio.run(function, clock=self.clock)
+
+    def note_standing(self, service, instance_id, standing):
+        self.states_by_id[instance_id] = standing.state
+
+    def note_answer(self, service, elapsed, now):
+        self.latencies.append(elapsed)
+
+    def build(self):
+        own = builders.home(0)
+        self.detection = detection.Detection(
+            own, self.note_standing, self.note_answer
+        )
+        service = builders.service()
+        document = documents.empty_document("atlas")._replace(
+            services_by_name={SERVICE: service}
+        )
+        self.detection.set_document(document)
+        homes = tuple(builders.home(number) for number in range(2))
+        self.detection.set_assignment(
+            assignments.Assignment(SERVICE, homes, {"res-3": 0})
+        )
+        return [each.id for each in service.instances]
+
+    def start(self, instance_id):
+        started = trio.current_time()
+        start = plugs.AttemptStart(SERVICE, instance_id, started, True)
+        self.detection.attempt_started(start)
+        return start
+
+    def answer(self, start, status=200, outcome=None, draining=False):
+        elapsed = trio.current_time() - start.started
+        self.detection.attempt_answered(start, status)
+        end = plugs.AttemptEnd(
+            start,
+            outcome or outcomes.Answered(status, elapsed),
+            elapsed,
+            elapsed,
+            draining,
+        )
+        self.detection.attempt_ended(end)
+
+    def step(self, instance_ids, **changes):
+        """Answer one attempt at each instance and tick."""
+        starts = [self.start(instance_id) for instance_id in instance_ids]
+        self.clock.jump(0.05)
+        for start in starts:
+            self.answer(start, **changes)
+        self.clock.jump(detector.TICK_INTERVAL - 0.05)
+        self.detection.tick(self.exchange)
+
+    def test_a_stalled_instance_is_reported_and_avoided(self):
+        async def main():
+            healthy = self.build()
+            for _ in range(50):
+                self.step(healthy)
+            healthy.remove("res-3")
+            stalled = [self.start("res-3") for _ in range(3)]
+            for _ in range(10):
+                self.step(healthy)
+            self.assertEqual(STATE.AVOIDED, self.states_by_id["res-3"])
+            told = {
+                each.instance_id: each.state
+                for each in self.exchange.sent[-1].instances
+            }
+            self.assertEqual(STATE.AVOIDED, told["res-3"])
+            self.assertEqual(3, len(stalled))
+
+        self.run_async(main)
+
+    def test_a_slow_caller_does_not_make_an_instance_slow(self):
+        async def main():
+            instance_ids = self.build()
+            for _ in range(50):
+                self.step(instance_ids)
+            start = self.start("res-3")
+            self.clock.jump(0.05)
+            self.detection.attempt_answered(start, 200)
+            for _ in range(100):
+                self.step(instance_ids)
+            self.assertEqual({}, self.states_by_id)
+
+        self.run_async(main)
+
+    def test_broken_answers_are_errors(self):
+        async def main():
+            instance_ids = self.build()
+            for _ in range(50):
+                self.step(instance_ids)
+            for _ in range(10):
+                self.step(["res-3"], outcome=CLOSED)
+            self.assertEqual(STATE.AVOIDED, self.states_by_id["res-3"])
+
+        self.run_async(main)
+
+    def test_a_drain_sign_stops_new_work_before_the_next_tick(self):
+        async def main():
+            self.build()
+            self.answer(self.start("res-3"), draining=True)
+            self.assertEqual(STATE.DRAINING, self.states_by_id["res-3"])
+
+        self.run_async(main)
+
+    def test_a_peers_drain_sign_arrives(self):
+        async def main():
+            self.build()
+            entry = builders.entry("res-3", draining=True)
+            self.exchange.received = [builders.report(1, entry)]
+            for _ in range(detection.EXCHANGE_TICKS):
+                self.step([])
+            self.assertEqual(STATE.DRAINING, self.states_by_id["res-3"])
+
+        self.run_async(main)
+
+    def test_the_latency_of_answers_is_passed_on(self):
+        async def main():
+            self.step(self.build())
+            self.assertEqual(10, len(self.latencies))
+            self.assertAlmostEqual(0.05, self.latencies[0])
+
+        self.run_async(main)
+
+
+class BudgetedRetriesTest(testtools.TestCase):
+    def facts(self, outcome, **changes):
+        facts = plugs.RetryFacts(SERVICE, True, 1, outcome, 0.0, 10.0)
+        return facts._replace(**changes)
+
+    def spent(self):
+        policy = budgets.BudgetedRetries()
+        while policy.decide(self.facts(CLOSED)).action is plugs.Action.RETRY:
+            pass
+        return policy
+
+    def test_a_failing_service_gives_up_at_once(self):
+        decision = self.spent().decide(self.facts(CLOSED))
+        self.assertEqual(plugs.Action.GIVE_UP, decision.action)
+        self.assertGreater(decision.retry_after, 1.0)
+
+    def test_a_shed_request_waits(self):
+        decision = self.spent().decide(self.facts(builders.SHED))
+        self.assertEqual(plugs.Action.WAIT, decision.action)
+
+    def test_requests_earn_retries(self):
+        policy = self.spent()
+        for _ in range(10):
+            policy.request_started(SERVICE, 0.0)
+        decision = policy.decide(self.facts(CLOSED))
+        self.assertEqual(plugs.Action.RETRY, decision.action)
+
+    def test_one_service_does_not_spend_anothers_budget(self):
+        decision = self.spent().decide(
+            self.facts(CLOSED, service="compliance")
+        )
+        self.assertEqual(plugs.Action.RETRY, decision.action)
+
+    def test_hedges_come_out_of_the_budget(self):
+        policy = budgets.BudgetedRetries()
+        for number in range(100):
+            policy.answered(SERVICE, 0.05, number * 0.1)
+        self.assertIsNotNone(policy.hedge_delay(SERVICE, 10.0))
+        while policy.hedge_started(SERVICE):
+            pass
+        self.assertIsNone(policy.hedge_delay(SERVICE, 10.0))
