--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -17,6 +17,7 @@
 from primrosemill.decisions import standings
 from primrosemill.proxy import assignments
 from primrosemill.proxy import plugs
+from primrosemill.proxy import probes
 
 EXCHANGE_TICKS = 2  # ticks between two looks at the peers' reports
 OnStanding = typing.Callable[[str, str, standings.Standing], None]
@@ -35,6 +36,14 @@
         ...
 
 
+class Target(typing.NamedTuple):
+    """An instance to probe, and at which path."""
+
+    service: str
+    instance: documents.Instance
+    path: str
+
+
 class Detection:
     """Runs the detectors of all services of one VM."""
 
@@ -48,6 +57,7 @@
         self._on_standing = on_standing
         self._on_answer = on_answer
         self._detectors_by_service: dict[str, detector.Detector] = {}
+        self._document = documents.empty_document("")
         self._tick_count = 0
 
     def attempt_started(self, start: plugs.AttemptStart) -> None:
@@ -79,6 +89,7 @@
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         now = _now()
+        self._document = document
         before = self._detectors_by_service
         self._detectors_by_service = {}
         for name, service in document.services_by_name.items():
@@ -105,10 +116,13 @@
         return watching.standings_by_id.get(instance.id, standings.HEALTHY)
 
     async def run(self, exchange: Exchange) -> None:
-        """Decide and exchange reports until cancelled."""
-        while True:
-            self.tick(exchange)
-            await trio.sleep(detector.TICK_INTERVAL)
+        """Decide, exchange reports and probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self.tick(exchange)
+                for target in self._due_probes():
+                    nursery.start_soon(self._probe, target)
+                await trio.sleep(detector.TICK_INTERVAL)
 
     def tick(self, exchange: Exchange) -> None:
         """Decide once, and exchange reports when it is time."""
@@ -125,6 +139,29 @@
             if exchanging or changed:
                 exchange.put_report(watching.report())
 
+    def _due_probes(self) -> list[Target]:
+        """Return what to probe now, with each service's probe path."""
+        now = _now()
+        targets = []
+        for service in self._document.services_by_name.values():
+            due = self._detectors_by_service[service.name].due_probes(now)
+            if not due:
+                continue
+            instances_by_id = {each.id: each for each in service.instances}
+            for each in due:
+                instance = instances_by_id.get(each.instance_id)
+                if instance is not None:
+                    targets.append(Target(service.name, instance, each.path))
+        return targets
+
+    async def _probe(self, target: Target) -> None:
+        result = await probes.probe(target.instance, target.path)
+        watching = self._detectors_by_service.get(target.service)
+        if watching is not None:
+            watching.probed(
+                target.instance.id, result.healthy, result.draining, _now()
+            )
+
     def _finish(
         self, start: plugs.AttemptStart, outcome: outcomes.Outcome
     ) -> None:
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/probes.py
@@ -0,0 +1,36 @@
+"""Asks an instance's health endpoint, for drain signs and failures."""
+
+import typing
+
+import httpcore
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.proxy import headers
+
+TIMEOUT = 2.0  # seconds
+FIRST_SERVER_ERROR = 500
+
+
+class Result(typing.NamedTuple):
+    """What a probe met; that it is healthy proves little."""
+
+    healthy: bool
+    draining: bool
+
+
+async def probe(instance: documents.Instance, path: str) -> Result:
+    """Probe an instance on a connection of its own."""
+    url = f"http://{instance.ip}:{instance.port}{path}"
+    with trio.move_on_after(TIMEOUT):
+        try:
+            async with httpcore.AsyncConnectionPool(
+                max_keepalive_connections=0
+            ) as pool:
+                response = await pool.request("GET", url)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return Result(False, False)
+        state = headers.find(response.headers, headers.INSTANCE_STATE)
+        healthy = response.status < FIRST_SERVER_ERROR
+        return Result(healthy, state == headers.DRAINING)
+    return Result(False, False)
