--- a/packages/decisions/src/primrosemill/decisions/detector.py
+++ b/packages/decisions/src/primrosemill/decisions/detector.py
@@ -45,6 +45,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._changed_by_id: dict[str, standings.Standing] = {}
         self._next_opinion = now
+        self._remarkable: set[str] = set()
         self.standings_by_id: dict[str, standings.Standing] = {}
         self._take_service(service)
 
@@ -226,11 +227,7 @@
 
     def _unsettled(self, now: float) -> set[str]:
         """Return the instances that are or were not simply in rotation."""
-        unsettled = {
-            instance_id
-            for instance_id, standing in self.standings_by_id.items()
-            if standing is not standings.HEALTHY
-        }
+        unsettled = self._remarkable & self.standings_by_id.keys()
         unsettled |= self._leaving
         unsettled |= self._board.cold()
         unsettled |= self._decider.rotation.cases_by_id.keys()
@@ -241,6 +238,10 @@
         standing = self._standing(instance_id, now)
         before = self.standings_by_id[instance_id]
         self.standings_by_id[instance_id] = standing
+        if standing is standings.HEALTHY:
+            self._remarkable.discard(instance_id)
+        else:
+            self._remarkable.add(instance_id)
         if (standing.state, standing.share) != (before.state, before.share):
             self._changed_by_id[instance_id] = standing
 
