--- a/packages/decisions/src/primrosemill/decisions/suspicion.py
+++ b/packages/decisions/src/primrosemill/decisions/suspicion.py
@@ -8,31 +8,22 @@
 """
 
 import bisect
-import math
 import typing
 
+from primrosemill.decisions import ages
 from primrosemill.decisions import alive_time
 from primrosemill.decisions import latency
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import records
 from primrosemill.decisions import scores
 from primrosemill.decisions import signs
 from primrosemill.decisions import thresholds
 
 REFRESH_INTERVAL = 1.0  # seconds
 FOLDED_AGE_CAP = 6.0  # nats; an attempt's age once it is given up.
-# A single attempt may take long for reasons of its own, the more so while
-# the instance answers others. Shares are of the score at which the VM acts.
-ONE_AGE_SHARE = 0.5
-ONE_AGE_SHARE_ANSWERING = 0.15
 WELL = -3.0  # nats; a sequential test accepts an instance's health.
-# While an instance answers nothing, its attempts are one event: what makes a
-# slow one usual is taken off once for all of them and not for each.
-SILENT_BONUS = 2.5  # nats
-SILENT_ALLOWANCE = 2.5  # nats
-LONG_SILENCE = 4.0  # times the 99th percentile; then one is enough.
 # Latencies come in runs, which a likelihood of independent ones overrates.
 LATENCY_WEIGHT = 0.5
-COLD_AGE_FACTOR = 5.0  # A cold instance may be this much slower.
 DOUBT_SHARE = 0.5
 DOUBT_MIN_SICK = 3
 # While all latencies rise together, ages may rise as well: how much longer
@@ -46,7 +37,6 @@
 RECENT_MIN = 1.0  # attempts
 WELL_USED = 0.3  # of the recent count of the busiest instance
 RECENT_LEAST = 0.01  # attempts
-UNREACHABLE_AFTER = 2  # refused connections in a row
 
 
 class Ended(typing.NamedTuple):
@@ -62,45 +52,10 @@
 
 
 class _Attempt(typing.NamedTuple):
-    record: "Record"
+    record: records.Record
     started: float
 
 
-class Record:
-    """What this VM knows of one instance."""
-
-    __slots__ = (
-        "cold_until",
-        "errors",
-        "id",
-        "health",
-        "in_flight",
-        "last_good",
-        "latencies",
-        "recent",
-        "refused",
-        "score",
-    )
-
-    def __init__(self, instance_id: str) -> None:
-        self.id = instance_id
-        self.latencies = scores.Channel()
-        self.errors = scores.Channel()
-        self.in_flight: dict[str, float] = {}
-        self.last_good = -math.inf
-        self.recent = 0.0
-        self.health = 0.0
-        self.refused = 0
-        self.score = 0.0
-        self.cold_until = 0.0
-
-    def reset(self) -> None:
-        """Drop the evidence gathered so far; attempts go on counting."""
-        self.latencies.reset()
-        self.errors.reset()
-        self.score = 0.0
-
-
 class Scoreboard:
     """Keeps the scores of one service's instances on one VM."""
 
@@ -113,11 +68,11 @@
         self._error_shift = scores.CommonShift()
         self._stretch = 1.0
         self._attempts: dict[str, _Attempt] = {}
-        self._touched: dict[str, Record] = {}
+        self._touched: dict[str, records.Record] = {}
         self._next_refresh = 0.0
         self._cold_start = 0.0
         self._cold_ids: set[str] = set()
-        self.records_by_id: dict[str, Record] = {}
+        self.records_by_id: dict[str, records.Record] = {}
         self.doubting = False
         self._paused = False
 
@@ -136,7 +91,7 @@
     def set_instances(self, instance_ids: typing.Iterable[str]) -> None:
         """Keep the records of these instances and no others."""
         self.records_by_id = {
-            each: self.records_by_id.get(each) or Record(each)
+            each: self.records_by_id.get(each) or records.Record(each)
             for each in instance_ids
         }
         for instance_id in list(self._touched):
@@ -182,7 +137,7 @@
 
     def is_reachable(self, instance_id: str) -> bool:
         """Tell whether the last connections were not all refused."""
-        return self.records_by_id[instance_id].refused < UNREACHABLE_AFTER
+        return self.records_by_id[instance_id].reachable
 
     def abandon(self, instance_id: str) -> None:
         """Drop what is known of an instance, with its attempts in flight."""
@@ -239,7 +194,7 @@
             record.score = (
                 LATENCY_WEIGHT * record.latencies.score
                 + record.errors.score
-                + self._weigh_ages(record, alive)
+                + self._weigh_ages(record)
             )
         least = max(RECENT_MIN, WELL_USED * busiest)
         self._doubt(
@@ -269,7 +224,7 @@
     def age_evidence(self, instance_id: str) -> float:
         """Return the evidence of the attempts in flight, in nats."""
         record = self.records_by_id[instance_id]
-        return self._weigh_ages(record, self._clock.time)
+        return self._weigh_ages(record)
 
     def _settle(self) -> None:
         records = self._touched.values()
@@ -328,7 +283,9 @@
         for record in self.records_by_id.values():
             record.reset()
 
-    def _weigh(self, record: Record, sign: signs.Sign, age: float) -> float:
+    def _weigh(
+        self, record: records.Record, sign: signs.Sign, age: float
+    ) -> float:
         if sign is signs.Sign.NONE:
             return 0.0
         record.recent += 1.0
@@ -348,7 +305,7 @@
         record.errors.add(self._errors.error_ratio)
         return self._errors.error_ratio
 
-    def _weigh_end(self, record: Record, age: float) -> float:
+    def _weigh_end(self, record: records.Record, age: float) -> float:
         """Weigh an attempt given up unanswered, for whatever reason.
 
         A deadline may be short for reasons of the caller's own, so only the
@@ -358,14 +315,14 @@
         record.latencies.add(ratio)
         return ratio
 
-    def _note_reached(self, record: Record) -> None:
-        if record.refused >= UNREACHABLE_AFTER:
+    def _note_reached(self, record: records.Record) -> None:
+        if not record.reachable:
             # Nothing listened before, so the instance has just started.
             self.warm_up(record.id)
         record.refused = 0
 
     def _weigh_answer(
-        self, record: Record, age: float, healthy: bool
+        self, record: records.Record, age: float, healthy: bool
     ) -> float:
         errors = self._errors
         record.last_good = self._clock.time
@@ -380,29 +337,11 @@
             self._baseline.add(bucket)
         return ratio + errors.success_ratio
 
-    def _weigh_ages(self, record: Record, alive: float) -> float:
-        if not record.in_flight:
-            return 0.0
-        factor = self._stretch
-        restarted = record.refused >= UNREACHABLE_AFTER
-        if restarted or record.cold_until > alive:
-            factor *= COLD_AGE_FACTOR
-        weigh = self._baseline.weigh_age
-        most = ONE_AGE_SHARE * self._limits.act + SILENT_BONUS
-        most_answering = ONE_AGE_SHARE_ANSWERING * self._limits.act
-        silence = alive - record.last_good + self._baseline.usual
-        quiet_age = self._baseline.no_evidence_before
-        long = LONG_SILENCE * self._baseline.high
-        total = 0.0
-        silent = 0.0
-        for started in record.in_flight.values():
-            age = (alive - started) / factor
-            if age <= quiet_age:
-                continue
-            total += min(most_answering, weigh(age))
-            silent_age = min(age, silence)
-            if silent_age <= quiet_age:
-                continue
-            nats = weigh(silent_age) + SILENT_BONUS
-            silent += nats if age >= long else min(most, nats)
-        return max(total, silent - SILENT_BONUS - SILENT_ALLOWANCE)
+    def _weigh_ages(self, record: records.Record) -> float:
+        return ages.weigh(
+            record,
+            self._baseline,
+            self._limits.act,
+            self._stretch,
+            self._clock.time,
+        )
