--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -23,6 +23,10 @@
 STEP = 0.1  # seconds between looks at what is due
 STORE_STEP = 0.25  # seconds between looks whether to watch the store
 
+# VMs chosen at random that hear of a new version at once: the randomized
+# forwarding of Banerjee et al., "Resilient Multicast using Overlays".
+CROSS_EDGES = 3
+
 DocumentHandler = typing.Callable[[documents.Document], None]
 
 
@@ -80,6 +84,8 @@
             self._view.version = self._configuration.version
             self._on_document(document)
             self.in_force.set()
+            for each in self._view.announce_version(CROSS_EDGES):
+                await self._link.send(each.ip, each.port, each.message)
 
     async def follow_store(self) -> None:
         """Watch the store whenever this VM is one of those that should."""
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -65,7 +65,9 @@
         platform: Platform,
         hooks: Hooks,
         generator: random.Random,
+        link_type: type[transport.Transport] = transport.Transport,
     ) -> None:
+        self._link_type = link_type
         self._identity = identity
         self._first_peers = first_peers
         self._platform = platform
@@ -90,7 +92,7 @@
             key,
         )
         opener = wire.Opener(identity.fleet, identity.vm_id, key)
-        self._link = transport.Transport(
+        self._link = self._link_type(
             identity.ip, self._sealer, opener, self._observe_refusal
         )
         await self._link.bind(identity.port)
