Send whole reports of evidence and check versions in steps

Cause: the detector takes each report as the whole of what a peer says and waits to hear from every home, while the exchange sent parts of reports and nothing while all was well. A large version was checked in one go.

Change: send whole, bounded reports on change and every 1.5 s, drain signs at once; hand each report that has weight to the daemon with the time at which its evidence ended; let requests run between the checks of parts.

Conclusion: the exchange fits the detector.

--- a/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
@@ -1,9 +1,10 @@
 """Decides what evidence to tell the other home VMs, and what to believe.
 
-Pure. What changed or still matters is sent, within a byte budget; signs that
-an instance drains go first and at once. A report counts only while its
-sender is live under the same incarnation and its evidence is young by this
-VM's own clock.
+Pure. Each message holds the whole report on a service, so a lost one costs
+a moment only. A report is sent when it has changed and now and then besides,
+within a byte budget; signs that an instance drains go at once. A report
+counts only while its sender is in the fleet under the same incarnation and
+its evidence is young by this VM's own clock.
 """
 
 import enum
@@ -12,17 +13,18 @@
 import msgspec
 
 from primrosemill.decisions import evidence
-from primrosemill.decisions import standings
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 
-SEND_INTERVAL = 0.5  # seconds between batches to one peer
-REFRESH_INTERVAL = 2.0  # seconds after which an abnormal score is repeated
-EVIDENCE_AGE = 5.0  # seconds for which a report has weight
+SEND_INTERVAL = 0.25  # seconds between reports on a service to one VM
+REFRESH_INTERVAL = 1.5  # seconds after which an unchanged report is repeated
+EVIDENCE_AGE = 3.0  # seconds for which a report has weight
 SCORE_STEP = 0.5  # change of a score that is worth a message
-BYTE_RATE = 6_000.0  # bytes a second that this VM may send
-BYTE_BURST = 6_000.0  # bytes
+BYTE_RATE = 5_000.0  # bytes of messages a second that this VM may send
+BYTE_BURST = 5_000.0  # bytes
 BATCH_SIZE = 1_000  # bytes of reports in one batch
+BATCH_OVERHEAD = 110  # bytes of a message besides its reports
+REPORT_OVERHEAD = 12  # bytes of a report besides its names and instances
 
 
 class RejectionReason(enum.StrEnum):
@@ -31,6 +33,7 @@
     PEER_NOT_LIVE = "peer_not_live"
     OTHER_INCARNATION = "other_incarnation"
     OLD_EVIDENCE = "old_evidence"
+    OVERTAKEN = "overtaken"
     WRONG_REPORTER = "wrong_reporter"
 
 
@@ -42,39 +45,55 @@
 
 
 class HeldReport(typing.NamedTuple):
-    """A report that has weight until it expires, by this VM's clock."""
+    """A report with when its evidence ended, by this VM's clock."""
 
     report: evidence.Report
     incarnation: int
-    expires: float
+    measured: float
 
 
-class _Sent(typing.NamedTuple):
-    evidence: evidence.InstanceEvidence
-    time: float
+class Taken(typing.NamedTuple):
+    """What became of a batch."""
+
+    held: tuple[HeldReport, ...]
+    rejected: tuple[RejectionReason, ...]
 
 
-class _InstanceKey(typing.NamedTuple):
+class _Target(typing.NamedTuple):
     vm_id: str
     service: str
-    instance_id: str
 
 
-def is_worth_sending(
-    new: evidence.InstanceEvidence,
-    sent: evidence.InstanceEvidence | None,
-    sent_age: float,
+class _Sent(typing.NamedTuple):
+    instances: tuple[evidence.InstanceEvidence, ...]
+    time: float
+
+
+def has_changed(
+    new: tuple[evidence.InstanceEvidence, ...],
+    old: tuple[evidence.InstanceEvidence, ...],
 ) -> bool:
-    """Tell whether a peer should hear this of an instance."""
-    abnormal = new.draining or new.state is not standings.State.IN_ROTATION
-    if sent is None:
-        return abnormal or abs(new.score) >= SCORE_STEP
-    if new.state != sent.state or new.draining != sent.draining:
+    """Tell whether a peer should hear of a report before the refresh."""
+    old_by_id = {each.instance_id: each for each in old}
+    if old_by_id.keys() != {each.instance_id for each in new}:
         return True
-    if abs(new.score - sent.score) >= SCORE_STEP:
-        return True
-    abnormal = abnormal or abs(new.score) >= SCORE_STEP
-    return abnormal and sent_age >= REFRESH_INTERVAL
+    for each in new:
+        before = old_by_id[each.instance_id]
+        if abs(each.score - before.score) >= SCORE_STEP:
+            return True
+        same = before._replace(score=each.score, requests=each.requests)
+        if each != same:
+            return True
+    return False
+
+
+def has_new_drain(
+    new: tuple[evidence.InstanceEvidence, ...],
+    old: tuple[evidence.InstanceEvidence, ...],
+) -> bool:
+    """Tell whether a report holds a sign of draining that the old lacks."""
+    known = {each.instance_id for each in old if each.draining}
+    return any(each.draining and each.instance_id not in known for each in new)
 
 
 class Outbox:
@@ -82,27 +101,14 @@
 
     def __init__(self, now: float) -> None:
         self._reports_by_service: dict[str, messages.StampedReport] = {}
-        self._sent_by_key: dict[_InstanceKey, _Sent] = {}
-        self._sent_at_by_vm: dict[str, float] = {}
-        self._urgent_ids: set[str] = set()
+        self._sent_by_target: dict[_Target, _Sent] = {}
         self._bytes = BYTE_BURST
         self._bytes_at = now
 
     def put(self, report: evidence.Report, stamp: int) -> None:
         """Take this VM's newest report on a service; stamp in ms."""
-        before = self._reports_by_service.get(report.service)
-        drained = set()
-        if before is not None:
-            drained = {
-                each.instance_id
-                for each in before.report.instances
-                if each.draining
-            }
-        for each in report.instances:
-            if each.draining and each.instance_id not in drained:
-                self._urgent_ids.add(report.service)
         self._reports_by_service[report.service] = messages.StampedReport(
-            stamp, report
+            stamp, _bounded(report)
         )
 
     def take(
@@ -113,92 +119,96 @@
     ) -> list[Batch]:
         """Return the batches to send now.
 
-        ``homes_by_service`` names the other home VMs of each service.
+        ``homes_by_service`` names the other home VMs of each service that
+        this VM is home to.
         """
-        earned = (now - self._bytes_at) * BYTE_RATE
-        self._bytes = min(BYTE_BURST, self._bytes + earned)
-        self._bytes_at = now
-        services_by_vm: dict[str, list[str]] = {}
+        self._earn(now)
+        due_by_vm: dict[str, list[str]] = {}
+        targets = set()
         for service, vm_ids in homes_by_service.items():
             if service not in self._reports_by_service:
                 continue
             for vm_id in vm_ids:
-                services_by_vm.setdefault(vm_id, []).append(service)
+                targets.add(_Target(vm_id, service))
+                if self._is_due(_Target(vm_id, service), now):
+                    due_by_vm.setdefault(vm_id, []).append(service)
+        for target in self._sent_by_target.keys() - targets:
+            del self._sent_by_target[target]
         batches = []
-        for vm_id, services in sorted(services_by_vm.items()):
-            batch = self._batch_for(vm_id, services, now, stamp)
+        for vm_id, services in sorted(due_by_vm.items(), key=self._urgency):
+            batch = self._fill(vm_id, services, now, stamp)
             if batch is not None:
                 batches.append(batch)
-        self._urgent_ids.clear()
-        self._forget_strangers(services_by_vm)
         return batches
 
-    def _batch_for(
+    def _earn(self, now: float) -> None:
+        earned = (now - self._bytes_at) * BYTE_RATE
+        self._bytes = min(BYTE_BURST, self._bytes + earned)
+        self._bytes_at = now
+
+    def _is_due(self, target: _Target, now: float) -> bool:
+        sent = self._sent_by_target.get(target)
+        if sent is None:
+            return True
+        report = self._reports_by_service[target.service].report
+        if has_new_drain(report.instances, sent.instances):
+            return True
+        waited = now - sent.time
+        if waited >= REFRESH_INTERVAL:
+            return True
+        if waited < SEND_INTERVAL:
+            return False
+        return has_changed(report.instances, sent.instances)
+
+    def _urgency(self, due: tuple[str, list[str]]) -> tuple[bool, float]:
+        """Put signs of draining first, then who has waited longest."""
+        vm_id, services = due
+        drains = False
+        oldest = float("inf")
+        for service in services:
+            sent = self._sent_by_target.get(_Target(vm_id, service))
+            before = () if sent is None else sent.instances
+            report = self._reports_by_service[service].report
+            drains = drains or has_new_drain(report.instances, before)
+            oldest = min(oldest, 0.0 if sent is None else sent.time)
+        return not drains, oldest
+
+    def _fill(
         self, vm_id: str, services: list[str], now: float, stamp: int
     ) -> Batch | None:
-        urgent = [each for each in services if each in self._urgent_ids]
-        due = now - self._sent_at_by_vm.get(vm_id, -SEND_INTERVAL)
-        if due < SEND_INTERVAL and not urgent:
-            return None
-        room = BATCH_SIZE
+        size = BATCH_OVERHEAD
         reports = []
-        for service in sorted(services, key=lambda each: each not in urgent):
-            stamped, size = self._select(vm_id, service, now, room)
-            if stamped is None:
+        for service in services:
+            stamped = self._reports_by_service[service]
+            added = len(msgspec.msgpack.encode(stamped))
+            full = size + added > BATCH_SIZE + BATCH_OVERHEAD
+            if full or size + added > self._bytes:
                 continue
+            size += added
             reports.append(stamped)
-            room -= size
+            self._sent_by_target[_Target(vm_id, service)] = _Sent(
+                stamped.report.instances, now
+            )
         if not reports:
             return None
-        self._sent_at_by_vm[vm_id] = now
+        self._bytes -= size
         return Batch(vm_id, messages.EvidenceBatch(stamp, tuple(reports)))
 
-    def _select(
-        self, vm_id: str, service: str, now: float, room: int
-    ) -> tuple[messages.StampedReport | None, int]:
-        """Choose the instances to report, drain signs and worst first."""
-        stamped = self._reports_by_service[service]
-        ordered = sorted(
-            stamped.report.instances,
-            key=lambda each: (not each.draining, -abs(each.score)),
-        )
-        chosen = []
-        used = 0
-        for each in ordered:
-            key = _InstanceKey(vm_id, service, each.instance_id)
-            sent = self._sent_by_key.get(key)
-            age = now - sent.time if sent is not None else 0.0
-            last = sent.evidence if sent is not None else None
-            if not is_worth_sending(each, last, age):
-                continue
-            size = len(msgspec.msgpack.encode(each))
-            if used + size > room or size > self._bytes:
-                break
-            used += size
-            self._bytes -= size
-            self._sent_by_key[key] = _Sent(each, now)
-            chosen.append(each)
-        if not chosen:
-            return None, 0
-        report = stamped.report._replace(instances=tuple(chosen))
-        return stamped._replace(report=report), used
-
-    def _forget_strangers(self, services_by_vm: dict[str, list[str]]) -> None:
-        for key in list(self._sent_by_key):
-            if key.service not in services_by_vm.get(key.vm_id, ()):
-                del self._sent_by_key[key]
-        for vm_id in list(self._sent_at_by_vm):
-            if vm_id not in services_by_vm:
-                del self._sent_at_by_vm[vm_id]
-
-
-def _is_newer(
-    held: HeldReport | None, incarnation: int, expires: float
-) -> bool:
-    """Tell whether a held report is newer than an arriving one."""
-    if held is None or held.incarnation != incarnation:
-        return False
-    return held.expires > expires
+
+def _bounded(report: evidence.Report) -> evidence.Report:
+    """Keep what fits one batch: draining instances, then the worst."""
+    names = report.vm_id + report.domain + report.service
+    room = BATCH_SIZE - REPORT_OVERHEAD - len(names.encode())
+    kept = []
+    for each in sorted(
+        report.instances, key=lambda each: (not each.draining, -each.score)
+    ):
+        room -= len(msgspec.msgpack.encode(each))
+        if room < 0:
+            break
+        kept.append(each)
+    kept.sort(key=lambda each: each.instance_id)
+    return report._replace(instances=tuple(kept))
 
 
 class _SenderClock(typing.NamedTuple):
@@ -207,11 +217,11 @@
 
 
 class Inbox:
-    """Holds the reports of other home VMs that have weight now."""
+    """Holds the latest report of each other home VM on each service."""
 
     def __init__(self) -> None:
         self._clocks_by_vm: dict[str, _SenderClock] = {}
-        self._held_by_key: dict[_InstanceKey, HeldReport] = {}
+        self._held_by_target: dict[_Target, HeldReport] = {}
 
     def take(
         self,
@@ -220,23 +230,29 @@
         incarnation: int,
         batch: messages.EvidenceBatch,
         now: float,
-    ) -> list[RejectionReason]:
-        """Take a batch; returns why reports of it were rejected.
+    ) -> Taken:
+        """Take a batch; ``incarnation`` is the one that sealed it.
 
-        ``sender`` is the sender's entry in this VM's table and
-        ``incarnation`` the one that sealed the message.
+        ``sender`` is the sender's entry in this VM's table.
         """
         if state is members.State.GONE:
-            return [RejectionReason.PEER_NOT_LIVE]
+            return Taken((), (RejectionReason.PEER_NOT_LIVE,))
         if incarnation != sender.incarnation:
-            return [RejectionReason.OTHER_INCARNATION]
+            return Taken((), (RejectionReason.OTHER_INCARNATION,))
         offset = self._offset(sender, batch.stamp, now)
+        held = []
         rejected = []
         for stamped in batch.reports:
-            reason = self._take_report(sender, stamped, offset, now)
+            measured = min(now, stamped.stamp / 1_000 + offset)
+            report = HeldReport(stamped.report, incarnation, measured)
+            reason = self._judge(sender, report, now)
             if reason is not None:
                 rejected.append(reason)
-        return rejected
+                continue
+            target = _Target(sender.vm_id, stamped.report.service)
+            self._held_by_target[target] = report
+            held.append(report)
+        return Taken(tuple(held), tuple(rejected))
 
     def _offset(self, sender: messages.Entry, stamp: int, now: float) -> float:
         """Return the receive minus the send time of the fastest message.
@@ -253,56 +269,44 @@
         )
         return offset
 
-    def _take_report(
-        self,
-        sender: messages.Entry,
-        stamped: messages.StampedReport,
-        offset: float,
-        now: float,
+    def _judge(
+        self, sender: messages.Entry, held: HeldReport, now: float
     ) -> RejectionReason | None:
-        report = stamped.report
+        report = held.report
         if (report.vm_id, report.domain) != (sender.vm_id, sender.domain):
             return RejectionReason.WRONG_REPORTER
-        expires = stamped.stamp / 1_000 + offset + EVIDENCE_AGE
-        if expires <= now:
+        if now - held.measured >= EVIDENCE_AGE:
             return RejectionReason.OLD_EVIDENCE
-        expires = min(expires, now + EVIDENCE_AGE)
-        for each in report.instances:
-            key = _InstanceKey(sender.vm_id, report.service, each.instance_id)
-            held = self._held_by_key.get(key)
-            if _is_newer(held, sender.incarnation, expires):
-                continue
-            self._held_by_key[key] = HeldReport(
-                report._replace(instances=(each,)),
-                sender.incarnation,
-                expires,
-            )
+        before = self._held_by_target.get(
+            _Target(sender.vm_id, report.service)
+        )
+        if before is None or before.incarnation != held.incarnation:
+            return None
+        if held.measured < before.measured:
+            return RejectionReason.OVERTAKEN
         return None
 
+    def forget(self, vm_id: str) -> None:
+        """Drop all that a VM said which has gone."""
+        self._clocks_by_vm.pop(vm_id, None)
+        for target in list(self._held_by_target):
+            if target.vm_id == vm_id:
+                del self._held_by_target[target]
+
     def reports(
         self,
         service: str,
-        states_by_id: typing.Callable[[str], members.State],
+        state_of: typing.Callable[[str], members.State],
         now: float,
     ) -> list[evidence.Report]:
         """Return the reports on a service that have weight now."""
-        instances_by_vm: dict[str, list[evidence.InstanceEvidence]] = {}
-        domains_by_vm: dict[str, str] = {}
-        for key, held in list(self._held_by_key.items()):
-            if held.expires <= now:
-                del self._held_by_key[key]
+        found = []
+        for target, held in sorted(self._held_by_target.items()):
+            if target.service != service:
                 continue
-            if key.service != service:
+            if now - held.measured >= EVIDENCE_AGE:
                 continue
-            if states_by_id(key.vm_id) is members.State.GONE:
+            if state_of(target.vm_id) is members.State.GONE:
                 continue
-            instances_by_vm.setdefault(key.vm_id, []).extend(
-                held.report.instances
-            )
-            domains_by_vm[key.vm_id] = held.report.domain
-        return [
-            evidence.Report(
-                vm_id, domains_by_vm[vm_id], service, tuple(instances)
-            )
-            for vm_id, instances in sorted(instances_by_vm.items())
-        ]
+            found.append(held.report)
+        return found
--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -143,7 +143,7 @@
                 self._watch.note_failure(trio.current_time())
                 return False
             values_by_key[key] = part.ok
-        self._offer(index_value, values_by_key, spread.Source.STORE)
+        await self._offer(index_value, values_by_key, spread.Source.STORE)
         return True
 
     async def _read_part(self, key: str) -> typing.Any:
@@ -156,13 +156,21 @@
             return {}
         return dict(self._configuration.assembled.values_by_key)
 
-    def _offer(
+    async def _offer(
         self,
         index_value: bytes,
         values_by_key: dict[str, bytes],
         source: spread.Source,
     ) -> bool:
-        result = self._configuration.offer(index_value, values_by_key, source)
+        """Check a version, with pauses in which requests go on."""
+        steps = assembly.assemble_in_steps(
+            index_value, values_by_key, self._configuration.assembled
+        )
+        outcome = next(steps)
+        while outcome is None:
+            await trio.lowlevel.checkpoint()
+            outcome = next(steps)
+        result = self._configuration.accept(outcome, source)
         if result.is_error():
             self._refuse(source, result.error.faults)
             return False
@@ -214,7 +222,9 @@
         if collected is None:
             return False
         values_by_key.update(collected)
-        return self._offer(index_value, values_by_key, spread.Source.PEER)
+        return await self._offer(
+            index_value, values_by_key, spread.Source.PEER
+        )
 
     async def pull_members(self, entry: messages.Entry) -> None:
         """Merge the table of members of another VM."""
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -27,6 +27,14 @@
 HomesByService = typing.Callable[[], typing.Mapping[str, list[str]]]
 
 
+# Gets a report that has weight, and when its evidence ended by this clock.
+ReportHandler = typing.Callable[[evidence.Report, float], None]
+
+
+def _ignore_report(report: evidence.Report, measured: float) -> None:
+    pass
+
+
 class Identity(typing.NamedTuple):
     """Who this process is; the incarnation is its start in ms."""
 
@@ -53,6 +61,7 @@
     on_document: follower.DocumentHandler
     homes_by_service: HomesByService = dict
     observe: observations.Observer = observations.ignore
+    on_report: ReportHandler = _ignore_report
 
 
 class Node:
@@ -199,16 +208,19 @@
     ) -> None:
         sender_id = received.sender_id
         member = self.membership.table.members_by_id.get(sender_id)
-        rejected = [evidence_exchange.RejectionReason.PEER_NOT_LIVE]
+        not_live = evidence_exchange.RejectionReason.PEER_NOT_LIVE
+        taken = evidence_exchange.Taken((), (not_live,))
         if member is not None:
-            rejected = self._inbox.take(
+            taken = self._inbox.take(
                 member.entry,
                 member.state,
                 received.incarnation,
                 batch,
                 trio.current_time(),
             )
-        for reason in rejected:
+        for held in taken.held:
+            self._hooks.on_report(held.report, held.measured)
+        for reason in taken.rejected:
             self._hooks.observe(
                 observations.EvidenceRejected(sender_id, reason)
             )
--- a/packages/fleet/src/primrosemill/fleet/spread.py
+++ b/packages/fleet/src/primrosemill/fleet/spread.py
@@ -99,6 +99,12 @@
             )
             return expression.Error(Refusal(source, (fault,)))
         result = assembly.assemble(index_value, values_by_key, self.assembled)
+        return self.accept(result, source)
+
+    def accept(
+        self, result: assembly.Outcome, source: Source
+    ) -> expression.Result[bool, Refusal]:
+        """Take a version that was checked; tells whether it is a new one."""
         if result.is_error():
             return expression.Error(Refusal(source, result.error))
         accepted = versions.accept(self.document, result.ok.document)
--- a/packages/proofs/src/primrosemill/proofs/configuration_versions.py
+++ b/packages/proofs/src/primrosemill/proofs/configuration_versions.py
@@ -47,6 +47,9 @@
     hold_back: bool = True
 
 
+ALL_GUARDS = Guards()
+
+
 class Wait:
     """How long a start has waited."""
 
@@ -265,7 +268,7 @@
 
 
 def build(
-    guards: Guards = Guards(), track_restarts: bool = False
+    guards: Guards = ALL_GUARDS, track_restarts: bool = False
 ) -> minicheck.Protocol:
     """Return the model; a guard that is off shows what it is for."""
     promises = {
