--- /dev/null
+++ b/tests/proxy/test_attempts.py
@@ -0,0 +1,90 @@
+import socket
+
+import httpcore
+import testtools
+import trio
+import trio.testing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import attempts
+from primrosemill.proxy import connections
+from primrosemill.proxy import replay
+from primrosemill.proxy import sockets
+from primrosemill.proxy import wire
+from tests.builders import path as builders
+
+INSTANCE = documents.Instance("res-0", builders.IP, 9, "ain-sebaa")
+
+
+async def no_message():
+    raise AssertionError("an absent body must not be read")
+
+
+def outgoing():
+    body = replay.ReplayBody(no_message, absent=True)
+    return attempts.Outgoing(b"POST", b"/", [(b"host", b"a")], body, False, 60)
+
+
+class FakePool(connections.Connections):
+    """Hands out one connection, or opens as it is told."""
+
+    def __init__(self, idle=None, open_connection=None):
+        super().__init__()
+        self._idle = idle
+        self._open = open_connection
+
+    def take_idle(self, instance, idempotent):
+        return self._idle
+
+    async def open(self, instance):
+        return await self._open()
+
+
+class ConnectTest(testtools.TestCase):
+    def run_attempt(self, open_connection):
+        pool = FakePool(open_connection=open_connection)
+        attempt = attempts.Attempt(pool, INSTANCE, outgoing())
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(attempt.run, clock=clock)
+
+    def test_a_connection_not_made_in_time_is_not_run(self):
+        self.assertEqual(
+            outcomes.NotRun(outcomes.NotRunReason.CONNECT_TIMEOUT),
+            self.run_attempt(trio.sleep_forever),
+        )
+
+    def test_a_machine_out_of_reach_is_not_run(self):
+        async def fail():
+            raise OSError(113, "no route to host")
+
+        self.assertEqual(
+            outcomes.NotRun(outcomes.NotRunReason.CONNECT_FAILED),
+            self.run_attempt(fail),
+        )
+
+
+class BrokenConnectionTest(testtools.TestCase):
+    def test_a_connection_that_took_no_byte_is_not_run(self):
+        trio.run(self._check)
+
+    async def _check(self):
+        with socket.create_server((builders.IP, 0)) as listener:
+            ours = socket.create_connection(listener.getsockname())
+            theirs = sockets.Socket(listener.accept()[0])
+            theirs.reset()
+        stream = wire.InstanceStream(sockets.Socket(ours))
+        while not stream.is_readable():
+            await trio.lowlevel.checkpoint()
+        http = httpcore.AsyncHTTP11Connection(
+            httpcore.Origin(b"http", b"127.0.0.1", 9), stream
+        )
+        pool = FakePool(connections.Connection(http, stream))
+        made = outgoing()._replace(deadline=trio.current_time() + 60)
+        attempt = attempts.Attempt(pool, INSTANCE, made)
+        self.assertEqual(
+            outcomes.NotRun(outcomes.NotRunReason.CLOSED_UNSENT),
+            await attempt.run(),
+        )
+        self.assertFalse(attempt.maybe_ran)
+        await attempt.close()
