Notice a caller that leaves at once; drain without cutting off a request

A caller whose request and close arrived together was never noticed to have left: the connection told so before the application had started, and the attempt went on until its deadline, holding a slot. The connection now remembers.

A drain closed idle connections at once, also one whose next request was on its way or unread, which its caller saw as a reset. Such a connection now gets two seconds for one more request, whose answer closes it. Both tests fail without their guard.

--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -47,6 +47,7 @@
         self._held = b""
         self._holding = False
         self.idle_since: float | None = trio.current_time()
+        self.gone = False
         self.on_gone: typing.Callable[[], None] | None = None
         self._protocol = http1.Http1Protocol(
             handler,
@@ -119,9 +120,15 @@
         """Close so that the caller can't take the answer as whole."""
         self._socket.reset()
 
-    def close(self) -> None:
-        """Close without waiting."""
-        self._socket.close()
+    def close_if_idle(self, oldest: float) -> None:
+        """Close if idle since ``oldest`` or before, a trio time.
+
+        A request that has arrived but was not read yet keeps it open.
+        """
+        if self.idle_since is None or self.idle_since > oldest:
+            return
+        if not self._socket.is_readable():
+            self._socket.close()
 
     async def _send(self, event: hypercorn.events.Event) -> None:
         if isinstance(event, hypercorn.events.RawData):
@@ -150,5 +157,6 @@
             self._socket.close()
 
     def _tell_gone(self) -> None:
+        self.gone = True
         if self.on_gone is not None:
             self.on_gone()
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -30,6 +30,7 @@
 class CallerConnection(typing.Protocol):
     """What the server tells and does for the connection of a caller."""
 
+    gone: bool
     on_gone: typing.Callable[[], None] | None
 
     def reset(self) -> None:
@@ -63,6 +64,8 @@
         """Cancel the scope if the caller goes away."""
         self._scope = scope
         self._connection.on_gone = self._on_gone
+        if self._connection.gone:
+            self._on_gone()
 
     def detach(self) -> None:
         """Stop watching for the caller's going away."""
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -12,6 +12,9 @@
 from primrosemill.telemetry import events
 
 KEEP_ALIVE_TIMEOUT = 75.0  # seconds that a caller's connection may be idle
+# A caller may have a request on its way while its connection looks idle. In
+# a drain it gets so long to send one more, whose answer closes.
+DRAIN_IDLE_TIME = 2.0  # seconds
 SWEEP_INTERVAL = 0.25  # seconds
 BACKLOG = 1024  # connections
 ACCEPT_PAUSE = 0.1  # seconds, while the process has no file left
@@ -65,7 +68,8 @@
     async def drain(self) -> None:
         """Stop accepting; returns when every connection is closed.
 
-        Idle connections close at once, others after their answer.
+        Connections close after their next answer, or once they were idle
+        for a moment.
         """
         self._draining = True
         await self._context.terminated.set()
@@ -106,12 +110,10 @@
             self._close_idle()
 
     def _close_idle(self) -> None:
-        lifetime = 0.0 if self._draining else KEEP_ALIVE_TIMEOUT
+        lifetime = DRAIN_IDLE_TIME if self._draining else KEEP_ALIVE_TIMEOUT
         oldest = trio.current_time() - lifetime
         for connection in tuple(self._connections):
-            since = connection.idle_since
-            if since is not None and since <= oldest:
-                connection.close()
+            connection.close_if_idle(oldest)
 
 
 def make_config() -> hypercorn.config.Config:
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -312,6 +312,33 @@
         # The deadline is far, so only the caller's leaving can cancel.
         self.run_with([wait_for_close], check, deadline=3_600.0)
 
+    def test_a_drain_answers_what_an_idle_connection_still_sends(self):
+        async def check(path, raws):
+            stream = await self.raw_call(path)
+            await stream.receive_some(65_536)
+            path.application.closing = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(path.server.drain)
+                await trio.testing.wait_all_tasks_blocked()
+                await stream.send_all(
+                    b"GET /slots/x HTTP/1.1\r\nhost: a\r\n\r\n"
+                )
+                answer = b"".join([data async for data in stream])
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertIn(b"connection: close", answer.lower())
+
+        self.run_with([answer_whole], check)
+
+    def test_a_caller_that_leaves_at_once_is_noticed(self):
+        async def check(path, raws):
+            for _ in range(10):
+                stream = await self.raw_call(path)
+                await stream.aclose()
+            # The server stops only when no request is in flight any more.
+            await path.server.drain()
+
+        self.run_with([never_answer], check, deadline=3_600.0)
+
     def test_an_upgrade_is_answered_as_any_request(self):
         async def check(path, raws):
             for upgrade in ("websocket", "h2c"):
