--- a/packages/decisions/src/primrosemill/decisions/limits.py
+++ b/packages/decisions/src/primrosemill/decisions/limits.py
@@ -20,6 +20,7 @@
 
 CAPACITY = 65_536  # callers with an entry on one VM
 SHARED_BUCKETS = 256  # for callers beyond the capacity
+MOST_RETRY_AFTER = 3_600.0  # seconds
 SWEEP_STEPS = 4  # entries looked at for each request
 
 
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -14,6 +14,7 @@
 from primrosemill.platform import over_http
 from primrosemill.proxy import addresses
 from primrosemill.proxy import admin
+from primrosemill.proxy import admission
 from primrosemill.proxy import application
 from primrosemill.proxy import asgi
 from primrosemill.proxy import assignments
@@ -79,9 +80,12 @@
         self._parts = parts or plain_parts()
         self._answer_lifetime = answer_lifetime
         counts = counters.Counters(prometheus_client.CollectorRegistry())
+        own = homes.Vm(settings.vm_id, settings.domain)
+        self._assignments = assignments.Assignments(own, self._set_assignment)
+        self._admission = admission.LimitCallers(self._assignments)
         self._application = application.Application(
             generator,
-            self._parts.decisions,
+            self._parts.decisions._replace(admission=self._admission),
             counts,
             settings.waiting_requests,
         )
@@ -97,10 +101,6 @@
         )
         if store is not None:
             platform = node.Platform(store)
-        own = homes.Vm(settings.vm_id, settings.domain)
-        self._assignments = assignments.Assignments(
-            own, self._parts.on_assignment
-        )
         self.peers = peers.Peers(
             settings,
             platform,
@@ -141,6 +141,7 @@
                 )
                 self._directory.set_caller_port(caller_port)
                 nursery.start_soon(self._keep_house)
+                nursery.start_soon(self._application.wake_waiters)
                 nursery.start_soon(self._keep_homes)
                 collector.settle()
                 self._announce(
@@ -239,7 +240,14 @@
         )
         task_status.started(ports)
 
+    def _set_assignment(self, assignment: assignments.Assignment) -> None:
+        self._application.set_ranks(
+            assignment.service, assignment.rank_by_instance
+        )
+        self._parts.on_assignment(assignment)
+
     def _set_document(self, document: documents.Document) -> None:
+        self._admission.set_document(document)
         self._application.set_document(document)
         self._parts.on_document(document)
         self._assignments.set_document(document)
