Name the port that a VM cannot listen on

A taken port ended 'proxy' with 'Exceptions from Trio nursery'. The ports are tried before the start; each that fails is told with its key, address and reason, and the command ends with 1.

--- a/packages/cli/src/primrosemill/cli/proxy.py
+++ b/packages/cli/src/primrosemill/cli/proxy.py
@@ -9,6 +9,8 @@
 import trio
 
 from primrosemill.cli import exits
+from primrosemill.cli import listening
+from primrosemill.configuration import faults
 from primrosemill.proxy import daemon
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import settings_faults
@@ -34,11 +36,11 @@
         exits.stop(
             exits.Status.BAD_INPUT, map(settings_faults.describe, result.error)
         )
+    found = listening.check_ports(result.ok)
+    if found:
+        exits.stop(exits.Status.FAILURE, map(faults.describe, found))
     eliot.to_file(sys.stderr)
-    try:
-        trio.run(_run, result.ok)
-    except* OSError as group:
-        exits.stop(exits.Status.FAILURE, map(str, group.exceptions))
+    trio.run(_run, result.ok)
 
 
 async def _run(settings: proxy_settings.Settings) -> None:
--- a/packages/cli/src/primrosemill/cli/vms.py
+++ b/packages/cli/src/primrosemill/cli/vms.py
@@ -8,6 +8,7 @@
 
 from primrosemill.cli import exits
 from primrosemill.configuration import checks
+from primrosemill.configuration import faults
 from primrosemill.platform import bounded
 from primrosemill.platform import interfaces
 
@@ -79,8 +80,4 @@
 
 def stop(address: str, fault: interfaces.PlatformFault) -> typing.NoReturn:
     """End the command with 1 for a VM that did not answer as agreed."""
-    detail = ", ".join(
-        f"{name}={value!r}" for name, value in fault._asdict().items()
-    )
-    line = f"{address}: {type(fault).__name__}: {detail}"
-    exits.stop(exits.Status.FAILURE, [line])
+    exits.stop(exits.Status.FAILURE, [f"{address}: {faults.describe(fault)}"])
--- a/packages/configuration/src/primrosemill/configuration/faults.py
+++ b/packages/configuration/src/primrosemill/configuration/faults.py
@@ -173,8 +173,8 @@
 )
 
 
-def describe(fault: Fault) -> str:
-    """Return one line for an operator: the type and each field."""
+def describe(fault: typing.NamedTuple) -> str:
+    """Return one line for an operator: the type and each field of a fault."""
     fields = ", ".join(
         f"{name}={value!r}"
         for name, value in zip(fault._fields, fault, strict=True)
--- a/tests/cli/test_proxy.py
+++ b/tests/cli/test_proxy.py
@@ -1,4 +1,5 @@
 import pathlib
+import socket
 import sys
 import tempfile
 
@@ -8,6 +9,7 @@
 
 from primrosemill.cli import main
 from tests.builders import processes
+from tests.builders import settings as settings_builders
 
 COMMAND = (sys.executable, "-m", "primrosemill.cli")
 
@@ -33,6 +35,23 @@
         self.assertIn(f"{self.path}:2: WrongType", result.stderr)
         self.assertIn("MissingSection", result.stderr)
 
+    def test_ports_that_cannot_be_had_are_told_and_end_with_1(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            port = str(taken.getsockname()[1])
+            for changes, key in (
+                ({"ports": {"admin": port}}, "admin"),
+                ({"ports": {"peer": port}}, "peer"),
+                ({"vm": {"ip": "192.0.2.1"}}, "caller"),
+            ):
+                self.path.write_text(settings_builders.text(**changes))
+                result = testing.CliRunner().invoke(
+                    main.main, ["proxy", "--settings", str(self.path)]
+                )
+                self.assertEqual(1, result.exit_code)
+                self.assertIn(f"CannotListen: key='{key}'", result.stderr)
+
     def test_a_vm_runs_as_a_process_of_its_own(self):
         async def body():
             async with processes.running_vm(COMMAND, self.path) as vm:
