Feed garbage to what reads operators' files

A plan whose first instance address is no IP number, or runs past the last one, raised in the builder; it is now refused with BadAddress, as is the broadcast number.

--- a/packages/configuration/src/primrosemill/configuration/checks.py
+++ b/packages/configuration/src/primrosemill/configuration/checks.py
@@ -17,6 +17,7 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 DEFAULT_DEADLINE = 10.0  # seconds
 HIGHEST_PORT = 65_535
+BROADCAST = ipaddress.ip_address("255.255.255.255")
 # An address is split by its check and again by the build that follows.
 ADDRESSES_REMEMBERED = 4_096
 
@@ -79,7 +80,7 @@
         ip = ipaddress.ip_address(text)
     except ValueError:
         return None
-    if ip.is_unspecified or ip.is_multicast:
+    if ip.is_unspecified or ip.is_multicast or ip == BROADCAST:
         return None
     return str(ip)
 
--- a/packages/publish/src/primrosemill/publish/builders.py
+++ b/packages/publish/src/primrosemill/publish/builders.py
@@ -17,6 +17,7 @@
 PROBE_PATH = "/health"
 PROBE_INTERVAL = 10.0  # seconds
 UNPUBLISHED_REVISION = 0
+NO_DOMAIN = ""
 
 
 def instance(
@@ -46,18 +47,25 @@
     domains: typing.Sequence[str],
 ) -> list[values.InstanceValue]:
     """Describe instances at consecutive IP numbers, spread over domains."""
-    first = ipaddress.ip_address(first_ip)
     return [
         instance(
             f"{name}-{number}",
-            str(first + number),
+            _ip_after(first_ip, number),
             port,
-            domains[number % len(domains)],
+            domains[number % len(domains)] if domains else NO_DOMAIN,
         )
         for number in range(count)
     ]
 
 
+def _ip_after(first_ip: str, number: int) -> str:
+    try:
+        return str(ipaddress.ip_address(first_ip) + number)
+    except ValueError:
+        # What is no IP number stays as it is, for the check to refuse.
+        return first_ip
+
+
 def route(
     path_prefix: str,
     *,
--- a/tests/publish/test_publication.py
+++ b/tests/publish/test_publication.py
@@ -64,6 +64,16 @@
                 for number in range(6_000)
             ]
         )
+        unreachable, over_the_end, nowhere = (
+            plans.service(
+                instances=builders.instances("a", ip, 6, 9000, domains)
+            )
+            for ip, domains in (
+                ("backend.example", plans.DOMAINS),
+                ("255.255.255.255", plans.DOMAINS),
+                ("127.1.1.1", ()),
+            )
+        )
         cases = [
             (faults.DuplicateService, (plans.service(),) * 2, {}),
             (document_faults.Duplicate, (plans.service(), shared), {}),
@@ -81,6 +91,15 @@
                 {"limits_by_caller": {"a": builders.limit(-1.0, 1)}},
             ),
             (document_faults.BadName, (), {"fleet": "a b"}),
+            (document_faults.BadAddress, (unreachable,), {}),
+            (document_faults.BadAddress, (over_the_end,), {}),
+            (document_faults.UnknownDomain, (nowhere,), {}),
+            (document_faults.Malformed, (plans.service(demand="much"),), {}),
+            (
+                document_faults.Malformed,
+                (plans.service(demand=float("nan")),),
+                {},
+            ),
         ]
         for fault_type, services, changes in cases:
             found = prepare(*services, **changes).error
