--- a/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
@@ -205,12 +205,12 @@
 
 
 def _bounded(report: evidence.Report) -> evidence.Report:
-    """Keep what fits one batch: what is urgent, then the worst."""
+    """Keep what fits one batch: draining instances, then the worst."""
     names = report.vm_id + report.domain + report.service
     room = BATCH_SIZE - REPORT_OVERHEAD - len(names.encode())
     kept = []
     for each in sorted(
-        report.instances, key=lambda each: (not _is_urgent(each), -each.score)
+        report.instances, key=lambda each: (not each.draining, -each.score)
     ):
         room -= len(msgspec.msgpack.encode(each))
         if room < 0:
