Never take surplus bytes of one answer for the next one

An instance that sends more than its answer left the surplus in h11's buffer, and httpcore kept the connection for use: the next request on it, somebody else's, got those bytes as its answer. Found by reading, shown by a test (the second caller got the first one's answer). Such a connection is closed now.

The stand-in can answer twice, the histories draw that mode as well, and the checker catches the missing guard as NotItsOwn.

--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -25,7 +25,7 @@
         return
 
 
-class _HttpConnection(httpcore.AsyncHTTP11Connection):
+class HttpConnection(httpcore.AsyncHTTP11Connection):
     """An HTTP connection that only its attempt uses.
 
     Each take of httpcore's lock is a pass of the scheduler, two a request.
@@ -37,11 +37,20 @@
         super().__init__(origin, stream)
         self._state_lock = _NoLock()
 
+    def is_reusable(self) -> bool:
+        """Tell whether the answer was whole and nothing came after it.
+
+        Bytes beyond the answer would be read as the answer to the next
+        request, which is somebody else's.
+        """
+        surplus, _ = self._h11_state.trailing_data
+        return self.is_idle() and not surplus
+
 
 class Connection(typing.NamedTuple):
     """An HTTP connection and the stream below it."""
 
-    http: httpcore.AsyncHTTP11Connection
+    http: HttpConnection
     stream: wire.InstanceStream
 
 
@@ -85,14 +94,14 @@
         """Open a connection; raises OSError."""
         stream = await wire.connect(instance)
         origin = httpcore.Origin(b"http", instance.ip.encode(), instance.port)
-        return Connection(_HttpConnection(origin, stream), stream)
+        return Connection(HttpConnection(origin, stream), stream)
 
     def put_back(
         self, instance: documents.Instance, connection: Connection
     ) -> None:
         """Keep a connection whose answer was read whole."""
         idle = self._idle_by_id.setdefault(instance.id, [])
-        if not connection.http.is_idle() or len(idle) >= IDLE_LIMIT:
+        if not connection.http.is_reusable() or len(idle) >= IDLE_LIMIT:
             connection.stream.close()
             return
         idle.append(Idle(connection, trio.current_time()))
--- a/packages/standins/src/primrosemill/standins/answers.py
+++ b/packages/standins/src/primrosemill/standins/answers.py
@@ -88,3 +88,14 @@
                 "more_body": padding > 0,
             }
         )
+
+
+async def send_twice(job: Job, body: bytes) -> None:
+    """Send an answer two times over, in one segment if it is small."""
+    body += b"." * _padding(job.scope)
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n"
+    connection = asgi.connection_of(job.scope)
+    connection.cork(True)
+    await connection.send(head.encode() + body)
+    await asgi.respond(job.send, 200, body)
+    connection.cork(False)
--- a/packages/standins/src/primrosemill/standins/asgi.py
+++ b/packages/standins/src/primrosemill/standins/asgi.py
@@ -1,5 +1,6 @@
 """Serves small ASGI applications on ephemeral ports, for the stand-ins."""
 
+import socket
 import typing
 
 import hypercorn.app_wrappers
@@ -38,6 +39,17 @@
         self._socket = stream.socket
         self.requests = 0
 
+    async def send(self, data: bytes) -> None:
+        """Send bytes past the server, as they are."""
+        while data:
+            data = data[await self._socket.send(data) :]
+
+    def cork(self, corked: bool) -> None:
+        """Hold back what is sent, so that it leaves in one segment."""
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_CORK, int(corked)
+        )
+
     def close(self) -> None:
         """Close at once, whatever of an answer was sent."""
         self._socket.close()
--- a/packages/standins/src/primrosemill/standins/faults.py
+++ b/packages/standins/src/primrosemill/standins/faults.py
@@ -15,6 +15,7 @@
     ERRORS = "errors"  # Answers a share of requests with status 500.
     TRUNCATE = "truncate"  # Closes within the body of its answer.
     CLOSE_ON_REUSE = "close_on_reuse"  # Closes when a connection is reused.
+    ANSWER_TWICE = "answer_twice"  # Sends each answer two times over.
     CLOSE_AFTER_RUN = "close_after_run"  # Runs the request, then closes.
 
 
--- a/packages/standins/src/primrosemill/standins/instance.py
+++ b/packages/standins/src/primrosemill/standins/instance.py
@@ -205,6 +205,8 @@
             await asgi.respond(job.send, 500, body, tuple(lines))
         elif job.mode is faults.Mode.TRUNCATE:
             await answers.send_in_part(job, body, lines)
+        elif job.mode is faults.Mode.ANSWER_TWICE:
+            await answers.send_twice(job, body)
         else:
             await answers.send_whole(job, body, lines)
 
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -76,7 +76,7 @@
         stream = wire.InstanceStream(sockets.Socket(ours))
         while not stream.is_readable():
             await trio.lowlevel.checkpoint()
-        http = httpcore.AsyncHTTP11Connection(
+        http = connections.HttpConnection(
             httpcore.Origin(b"http", b"127.0.0.1", 9), stream
         )
         pool = FakePool(connections.Connection(http, stream))
--- a/tests/proxy/test_histories.py
+++ b/tests/proxy/test_histories.py
@@ -3,6 +3,7 @@
 import testtools
 
 from primrosemill.proofs import history
+from primrosemill.proxy import connections
 from primrosemill.proxy import plugs
 from primrosemill.proxy import wire
 from tests.builders import chaos
@@ -44,6 +45,18 @@
         self.assertIn(history.RanAfterAll, kinds)
         self.assertIn(history.RanAgain, kinds)
 
+    def test_a_proxy_that_reads_surplus_bytes_is_caught(self):
+        # Without the check, httpcore reads what came beyond an answer.
+        self.patch(
+            connections.HttpConnection,
+            "is_reusable",
+            connections.HttpConnection.is_idle,
+        )
+        run = chaos.record(1, builders.ONCE_PATH, plugs.plain())
+        violations = history.check(chaos.history_of(run))
+        kinds = {type(violation) for violation in violations}
+        self.assertIn(history.NotItsOwn, kinds)
+
     def test_a_route_that_repeats_what_must_run_once_is_caught(self):
         # The configuration says that it may be repeated, the callers don't.
         run = chaos.record(1, "/slots/wrongly-idempotent", plugs.plain())
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -248,6 +248,23 @@
             check,
         )
 
+    def test_surplus_bytes_are_never_taken_for_the_next_answer(self):
+        async def answer_twice(stream, count):
+            body = f"{len(raw_heads)}".encode()
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n"
+            await stream.send_all((head + body) * 2)
+            return True
+
+        raw_heads = []
+
+        async def check(path, raws):
+            for number in range(5):
+                raw_heads.append(number)
+                response = await builders.call(path, builders.IDEMPOTENT_PATH)
+                self.assertEqual(f"{number + 1}".encode(), response.content)
+
+        self.run_with([answer_twice], check)
+
     def test_a_connection_found_closed_is_not_used_again(self):
         async def check(path, raws):
             for number in range(3):
