Publish and stop a VM in the demo, under its traffic

The demo showed a sick instance only. It now publishes a version while one VM has no store, and stops a VM as an operator does; callers ask again for their addresses within their lifetime.

--- a/packages/measure/src/primrosemill/measure/demo.py
+++ b/packages/measure/src/primrosemill/measure/demo.py
@@ -2,7 +2,8 @@
 
 One instance turns gray: it takes requests and never answers them, while its
 health endpoint stays good. The fleet must take it out, lose no request, and
-bring it back after it has recovered.
+bring it back after it has recovered. Then a new version is published while
+one VM cannot reach the store, and another VM is asked to stop.
 """
 
 import sys
@@ -17,6 +18,7 @@
 from primrosemill.measure import demo_report
 from primrosemill.measure import demo_watch
 from primrosemill.standins import faults
+from primrosemill.standins import platform_modes as modes
 
 SICK_ID = f"{demo_fleet.SERVICE}-1"
 SETTLING_SECONDS = 2.0
@@ -25,6 +27,10 @@
 LAST_SECONDS = 3.0
 DETECTION_PATIENCE = 8.0  # seconds
 RECOVERY_PATIENCE = 20.0  # seconds
+SPREAD_PATIENCE = 8.0  # seconds
+LEAVING_PATIENCE = 10.0  # seconds
+LEAVING_ID = "entry-0"
+CUT_OFF_ID = "entry-2"
 IN_STATES = frozenset({standings.State.IN_ROTATION.value})
 
 
@@ -55,7 +61,9 @@
             )
             watch = demo_watch.Watch(fleet)
             nursery.start_soon(watch.run)
-            told = await demo_callers.ask_addresses(fleet)
+            book = demo_callers.AddressBook(fleet.caller_addresses)
+            await nursery.start(book.run)
+            told = book.told_by_caller
             used = {addresses[0] for addresses in told.values()}
             self._say(f"{len(told)} callers were told of {len(used)} VMs")
             callers = demo_callers.Callers(
@@ -65,6 +73,9 @@
                 calling.start_soon(callers.run)
                 await self._pass_healthy_time(fleet, callers)
                 times = await self._pass_sick_time(fleet, watch)
+                spread = await self._publish(fleet, watch)
+                leaving = await self._let_vm_leave(fleet)
+                times = times._replace(spread=spread, leaving=leaving)
                 await trio.sleep(LAST_SECONDS)
                 callers.stop()
             promises = demo_report.judge(
@@ -124,7 +135,7 @@
         sick.set_sickness(faults.Sickness())
         self._begin("recovering", f"{SICK_ID} is well again")
         if detection is None:
-            return demo_report.Times(None, None)
+            return demo_report.Times()
         began = trio.current_time()
         if not await watch.wait_until(SICK_ID, IN_STATES, RECOVERY_PATIENCE):
             self._begin("not back", "not every VM uses it again")
@@ -133,6 +144,37 @@
         self._begin("back", f"every VM uses it again, {recovery:.2f} s later")
         return demo_report.Times(detection, recovery)
 
+    async def _publish(
+        self, fleet: demo_fleet.Fleet, watch: demo_watch.Watch
+    ) -> float | None:
+        """Publish a version; returns how long it took to every VM."""
+        fleet.views_by_id[CUT_OFF_ID].mode = modes.Down()
+        self._begin(
+            "new version", f"a new version, while {CUT_OFF_ID} has no store"
+        )
+        later = demo_fleet.prepare(
+            fleet.instance_addresses, demo_fleet.NEXT_DEMAND, fleet.published
+        )
+        began = trio.current_time()
+        fleet.views_by_id[LEAVING_ID].publish(later.changed_by_key)
+        if not await watch.wait_for_version(later.version, SPREAD_PATIENCE):
+            self._say("not every VM has it in force")
+            return None
+        spread = trio.current_time() - began
+        self._say(f"every VM has it in force, {spread:.2f} s later")
+        return spread
+
+    async def _let_vm_leave(self, fleet: demo_fleet.Fleet) -> float | None:
+        """Stop a VM as an operator does; returns how long that took."""
+        self._begin("a VM leaves", f"{LEAVING_ID} is asked to stop")
+        began = trio.current_time()
+        with trio.move_on_after(LEAVING_PATIENCE):
+            await fleet.vms_by_id[LEAVING_ID].stop("demo")
+            leaving = trio.current_time() - began
+            self._begin("after it", f"it has stopped, {leaving:.2f} s later")
+            return leaving
+        return None
+
     def _report(
         self,
         callers: demo_callers.Callers,
@@ -150,7 +192,7 @@
 @click.command()
 @click.option("--seed", default=1, show_default=True)
 def main(seed: int) -> None:
-    """Run a small fleet; one instance turns gray and recovers.
+    """Run a small fleet through a sick instance and two planned changes.
 
     Exit status: 0 if every promise held, 1 otherwise.
     """
--- a/packages/measure/src/primrosemill/measure/demo_callers.py
+++ b/packages/measure/src/primrosemill/measure/demo_callers.py
@@ -31,23 +31,62 @@
     elapsed: float
 
 
-async def ask_addresses(fleet: demo_fleet.Fleet) -> AddressesByCaller:
-    """Ask VMs which addresses each caller should use."""
-    told_by_caller: AddressesByCaller = {}
-    async with httpcore.AsyncConnectionPool() as pool:
+class AddressBook:
+    """Keeps the addresses that each caller was told, and asks again in time.
+
+    A caller asks the VM that it uses, or the next one it was told of.
+    """
+
+    def __init__(self, known: typing.Sequence[str]) -> None:
+        self.told_by_caller: AddressesByCaller = {}
+        for number, caller in enumerate(CALLERS):
+            shift = number % len(known)
+            self.told_by_caller[caller] = [*known[shift:], *known[:shift]]
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Ask until cancelled; reports once every caller has an answer."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            await self._refresh(pool)
+            task_status.started()
+            while True:
+                await trio.sleep(demo_fleet.ANSWER_LIFETIME / 2)
+                await self._refresh(pool)
+
+    async def _refresh(self, pool: httpcore.AsyncConnectionPool) -> None:
         for number, caller in enumerate(CALLERS):
-            known = fleet.caller_addresses[number % demo_fleet.VMS]
             domain = demo_fleet.DOMAINS[number % len(demo_fleet.DOMAINS)]
             question = addresses.Question(demo_fleet.SERVICE, caller, domain)
-            query = urllib.parse.urlencode(question._asdict())
-            answer = await pool.request(
-                "GET", f"http://{known}{addresses.PATH}?{query}"
-            )
-            told = msgspec.json.decode(
-                answer.content, type=addresses.AddressAnswer
-            )
-            told_by_caller[caller] = told["addresses"]
-    return told_by_caller
+            for address in self.told_by_caller[caller]:
+                told = await _ask(pool, address, question)
+                if told:
+                    self.told_by_caller[caller] = told
+                    break
+
+
+async def _ask(
+    pool: httpcore.AsyncConnectionPool,
+    address: str,
+    question: addresses.Question,
+) -> list[str]:
+    query = urllib.parse.urlencode(question._asdict())
+    try:
+        answer = await pool.request(
+            "GET",
+            f"http://{address}{addresses.PATH}?{query}",
+            extensions={"timeout": LIMITS},
+        )
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ):
+        return []
+    told = msgspec.json.decode(answer.content, type=addresses.AddressAnswer)
+    return told["addresses"]
 
 
 class Callers:
@@ -57,7 +96,8 @@
         self, addresses_by_caller: AddressesByCaller, rate: float, seed: str
     ) -> None:
         self.met: list[Met] = []
-        self._callers = itertools.cycle(addresses_by_caller.items())
+        self._addresses_by_caller = addresses_by_caller
+        self._callers = itertools.cycle(addresses_by_caller)
         self._rate = rate
         self._seed = seed
         self._generator = random.Random(seed)
@@ -87,12 +127,13 @@
         expected = f"{tag} {demo_fleet.SERVICE}-".encode()
         # The instance's number, one digit, follows what is expected.
         call = history.Call(tag, idempotent, expected, len(expected) + 1)
-        caller, told = next(self._callers)
+        caller = next(self._callers)
+        address = self._addresses_by_caller[caller][0]
         started = trio.current_time()
         try:
             response = await pool.request(
                 "GET" if idempotent else "POST",
-                f"http://{told[0]}"
+                f"http://{address}"
                 + ("/slots" if idempotent else "/bookings"),
                 headers={"x-request-id": tag, "x-caller-id": caller},
                 extensions={"timeout": LIMITS},
--- a/packages/measure/src/primrosemill/measure/demo_report.py
+++ b/packages/measure/src/primrosemill/measure/demo_report.py
@@ -16,6 +16,7 @@
 DIGITS = 3
 STATUS_OK = 200
 DETECTION_LIMIT = 5.0  # seconds
+SPREAD_LIMIT = 5.0  # seconds
 EXAMPLES_SHOWN = 3
 
 
@@ -27,10 +28,12 @@
 
 
 class Times(typing.NamedTuple):
-    """How long detection and return took in seconds; None: not at all."""
+    """How long things took in seconds; None: not at all."""
 
-    detection: float | None
-    recovery: float | None
+    detection: float | None = None
+    recovery: float | None = None
+    spread: float | None = None
+    leaving: float | None = None
 
 
 class Promise(typing.NamedTuple):
@@ -94,8 +97,8 @@
         for call in calls
         if call.idempotent and _ending(call) != history.ANSWERED
     ]
+    broken_off = [call.tag for call in calls if call.broken]
     wrongly_out = watch.wrongly_out(sick_id)
-    detection = times.detection
     return [
         Promise(
             "every answer whole and its caller's own; bookings run at most "
@@ -110,8 +113,8 @@
         ),
         Promise(
             f"the sick instance out on every VM within {DETECTION_LIMIT:g} s",
-            detection is not None and detection <= DETECTION_LIMIT,
-            "not at all" if detection is None else f"{detection:.2f} s",
+            _within(times.detection, DETECTION_LIMIT),
+            _describe_time(times.detection),
         ),
         Promise(
             "no instance that was well taken out",
@@ -126,13 +129,30 @@
         Promise(
             "the instance back in rotation after it recovered",
             times.recovery is not None,
-            "not at all"
-            if times.recovery is None
-            else f"{times.recovery:.2f} s",
+            _describe_time(times.recovery),
+        ),
+        Promise(
+            f"a new version in force on every VM within {SPREAD_LIMIT:g} s, "
+            "one of them without the store",
+            _within(times.spread, SPREAD_LIMIT),
+            _describe_time(times.spread),
+        ),
+        Promise(
+            "a VM left, and no request was ever broken off",
+            times.leaving is not None and not broken_off,
+            _examples(broken_off) or _describe_time(times.leaving),
         ),
     ]
 
 
+def _within(seconds: float | None, limit: float) -> bool:
+    return seconds is not None and seconds <= limit
+
+
+def _describe_time(seconds: float | None) -> str:
+    return "not at all" if seconds is None else f"{seconds:.2f} s"
+
+
 def runs_by_tag(fleet: demo_fleet.Fleet) -> dict[str, int]:
     """Return how often each request ran, on all instances together."""
     runs: collections.Counter[str] = collections.Counter()
--- a/packages/measure/src/primrosemill/measure/demo_watch.py
+++ b/packages/measure/src/primrosemill/measure/demo_watch.py
@@ -31,28 +31,34 @@
         self.changes: list[Change] = []
         self.fewest_in_rotation = demo_fleet.INSTANCES
         self._states: dict[tuple[str, str], str] = {}
+        self._versions_by_id: dict[str, int] = {}
         self._changed = trio.Event()
 
     async def run(self) -> None:
         """Look until cancelled."""
         while True:
-            changes_before = len(self.changes)
             for vm_id in self._fleet.vms_by_id:
                 self._look(vm_id)
-            if len(self.changes) > changes_before:
-                self._changed.set()
-                self._changed = trio.Event()
             await trio.sleep(INTERVAL)
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _look(self, vm_id: str) -> None:
-        services = self._fleet.vms_by_id[vm_id].read_status()["services"]
+        told = self._fleet.vms_by_id[vm_id].read_status()
+        version = told["configuration"]["version"]
+        if self._versions_by_id.get(vm_id) != version:
+            self._versions_by_id[vm_id] = version
+            self._wake()
         in_rotation = 0
-        for found in services[0]["instances"]:
+        for found in told["services"][0]["instances"]:
             in_rotation += found["state"] not in OUT_STATES
             name = (vm_id, found["id"])
             if self._states.get(name) == found["state"]:
                 continue
             self._states[name] = found["state"]
+            self._wake()
             self.changes.append(
                 Change(
                     trio.current_time(),
@@ -83,6 +89,16 @@
             for vm_id in self._fleet.vms_by_id
         )
 
+    async def wait_for_version(self, version: int, timeout: float) -> bool:
+        """Wait until every VM has a version in force, or the timeout."""
+        with trio.move_on_after(timeout):
+            while any(
+                each < version for each in self._versions_by_id.values()
+            ):
+                await self._changed.wait()
+            return True
+        return False
+
     def wrongly_out(self, sick_id: str) -> list[Change]:
         """Return the changes that took out an instance which was well."""
         return [
--- a/tests/builders/demo.py
+++ b/tests/builders/demo.py
@@ -13,7 +13,7 @@
     """Build a fleet whose one instance ran some requests."""
     standin = instance.InstanceStandin(SICK_ID, 3, 0.0)
     standin.runs_by_tag.update(runs_by_tag)
-    return demo_fleet.Fleet(None, {SICK_ID: standin}, (), {}, ())
+    return demo_fleet.Fleet({}, {SICK_ID: standin}, (), {}, (), None)
 
 
 def watch(*states_by_id: tuple[str, str]) -> demo_watch.Watch:
