Try suspects by name, and watch only services in use

Cause: in the demo the lead of a stalled instance took it out alone after a second, and nobody else ever did, because no VM sent the trial requests that the detector asked for; the second opinion never came. Every VM also ticked the detectors of all services, 500 at the target size.

Change: the first attempt of an idempotent request goes to the instance that the detector wants tried; trials without a share come by name only. A service is watched while this VM is home to it or has work for it. Connections are kept by address, as ids are unique within a service only. A changed standing is event PM4001. The daemon's replaceable parts, of which none was used any more, are gone; the test that listened to one now asks the VM's status.

--- a/packages/decisions/src/primrosemill/decisions/pool.py
+++ b/packages/decisions/src/primrosemill/decisions/pool.py
@@ -176,6 +176,25 @@
         use = self._uses_by_id[picked]
         if use.tier in SPILL_TIERS:
             self._next_spill = now + self._spill_pause()
+        return self._take(use, now)
+
+    def acquire_named(
+        self, now: float, instance_id: str
+    ) -> documents.Instance | None:
+        """Take a slot of one instance, in rotation or not.
+
+        For trials; None means that it has no slot left or is leaving.
+        """
+        use = self._uses_by_id.get(instance_id)
+        if use is None or use.instance.leaving:
+            return None
+        if use.standing.state is standings.State.DRAINING:
+            return None
+        if use.busy >= self._service.slots:
+            return None
+        return self._take(use, now)
+
+    def _take(self, use: _Use, now: float) -> documents.Instance:
         if not self._busy:
             self._last_answer = now
         self._last_start = now
@@ -357,7 +376,8 @@
     if use.instance.leaving or state in UNUSABLE:
         return None
     if state is standings.State.TRIAL:
-        return Tier.TRIAL
+        # Without a share its trials come by name.
+        return Tier.TRIAL if use.standing.share > 0 else None
     if state is standings.State.RANKED_LAST:
         return Tier.LAST
     cold = state is standings.State.COLD
--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -15,6 +15,14 @@
 IDLE_LIMIT = 16  # connections to one instance
 
 
+Address = tuple[str, int]
+
+
+def _address(instance: documents.Instance) -> Address:
+    """Return what tells instances apart; ids do so within a service only."""
+    return instance.ip, instance.port
+
+
 class _NoLock:
     """Stands in for a lock where one task has the connection to itself."""
 
@@ -65,7 +73,7 @@
     """Holds the idle connections of this VM to all instances."""
 
     def __init__(self) -> None:
-        self._idle_by_id: dict[str, list[Idle]] = {}
+        self._idle_by_address: dict[Address, list[Idle]] = {}
 
     def take_idle(
         self, instance: documents.Instance, idempotent: bool
@@ -76,7 +84,7 @@
         moment ago: a new connection costs about a millisecond, an unknown
         outcome costs the caller its request.
         """
-        idle = self._idle_by_id.get(instance.id)
+        idle = self._idle_by_address.get(_address(instance))
         if not idle:
             return None
         now = trio.current_time()
@@ -100,7 +108,7 @@
         self, instance: documents.Instance, connection: Connection
     ) -> None:
         """Keep a connection whose answer was read whole."""
-        idle = self._idle_by_id.setdefault(instance.id, [])
+        idle = self._idle_by_address.setdefault(_address(instance), [])
         if not connection.http.is_reusable() or len(idle) >= IDLE_LIMIT:
             connection.stream.close()
             return
@@ -109,15 +117,15 @@
     def close_expired(self) -> None:
         """Close what was idle for too long; call it now and then."""
         oldest = trio.current_time() - IDLE_LIFETIME
-        for instance_id, idle in list(self._idle_by_id.items()):
+        for address, idle in list(self._idle_by_address.items()):
             while idle and idle[0].since < oldest:
                 idle.pop(0).connection.stream.close()
             if not idle:
-                del self._idle_by_id[instance_id]
+                del self._idle_by_address[address]
 
     def close_all(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle_by_id.values():
+        for idle in self._idle_by_address.values():
             for each in idle:
                 each.connection.stream.close()
-        self._idle_by_id.clear()
+        self._idle_by_address.clear()
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -47,23 +47,6 @@
     peer_port: int
 
 
-class Parts(typing.NamedTuple):
-    """What other libraries bring to a VM; each has a plain default."""
-
-    on_document: typing.Callable[[documents.Document], None]
-    on_leaving: typing.Callable[[], None]
-    on_assignment: assignments.OnChange
-
-
-def plain_parts() -> Parts:
-    """Return parts that do nothing."""
-    return Parts(
-        lambda document: None,
-        lambda: None,
-        lambda assignment: None,
-    )
-
-
 class Daemon:
     """Carries facts to the decisions and their results to the network."""
 
@@ -72,11 +55,9 @@
         settings: proxy_settings.Settings,
         generator: random.Random,
         store: interfaces.Store | None = None,
-        parts: Parts | None = None,
         answer_lifetime: float = ANSWER_LIFETIME,
     ) -> None:
         self._settings = settings
-        self._parts = parts or plain_parts()
         self._answer_lifetime = answer_lifetime
         counts = counters.Counters(prometheus_client.CollectorRegistry())
         own = homes.Vm(settings.vm_id, settings.domain)
@@ -171,7 +152,6 @@
         cut off.
         """
         self._application.leaving = True
-        self._parts.on_leaving()
         self._directory.set_leaving()
         events.emit(
             events.VM_LEAVING,
@@ -249,18 +229,26 @@
             assignment.service, assignment.rank_by_instance
         )
         self._detection.set_assignment(assignment)
-        self._parts.on_assignment(assignment)
 
     def _set_standing(
         self, service: str, instance_id: str, standing: standings.Standing
     ) -> None:
         self._application.set_standing(service, instance_id, standing)
+        if standing.state is standings.State.COLD:
+            return
+        events.emit(
+            events.STANDING_CHANGED,
+            service=service,
+            instance_id=instance_id,
+            state=standing.state.value,
+            score=round(standing.score, 2),
+            reason=standing.reason,
+        )
 
     def _set_document(self, document: documents.Document) -> None:
         self._admission.set_document(document)
         self._application.set_document(document)
         self._detection.set_document(document)
-        self._parts.on_document(document)
         self._assignments.set_document(document)
         collector.spare_new()
 
--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -1,8 +1,8 @@
 """Carries attempts and peers' reports to the detectors, and back standings.
 
-Each service has a detector. What an attempt meets is told as it happens, the
-detectors tick some ten times a second, and the exchange between the VMs gets
-this VM's reports and gives those of its peers.
+Each service in use has a detector. What an attempt meets is told as it
+happens, the detectors tick some ten times a second, and the exchange between
+the VMs gets this VM's reports and gives those of its peers.
 """
 
 import typing
@@ -19,6 +19,7 @@
 from primrosemill.proxy import plugs
 from primrosemill.proxy import probes
 
+IDLE_LIFETIME = 60.0  # seconds that a service without work stays watched
 EXCHANGE_TICKS = 2  # ticks between two looks at the peers' reports
 OnStanding = typing.Callable[[str, str, standings.Standing], None]
 OnAnswer = typing.Callable[[str, float, float], None]
@@ -44,8 +45,28 @@
     path: str
 
 
+class _Watch:
+    """The detector of one service, and when this VM last used it."""
+
+    def __init__(self, watching: detector.Detector, now: float) -> None:
+        self.detector = watching
+        self.home = False
+        self.in_flight = 0
+        self.last_used = now
+
+    def idle(self, now: float) -> bool:
+        """Tell whether this VM has had no use for the service for long."""
+        if self.home or self.in_flight:
+            return False
+        return now - self.last_used > IDLE_LIFETIME
+
+
 class Detection:
-    """Runs the detectors of all services of one VM."""
+    """Runs the detectors of the services that this VM works for.
+
+    A service is watched while this VM is home to it or has requests for it,
+    so the cost follows the work of the VM and not the configuration's size.
+    """
 
     def __init__(
         self,
@@ -56,15 +77,31 @@
         self._own = own
         self._on_standing = on_standing
         self._on_answer = on_answer
-        self._detectors_by_service: dict[str, detector.Detector] = {}
+        self._watches_by_service: dict[str, _Watch] = {}
+        self._assignments_by_service: dict[str, assignments.Assignment] = {}
         self._document = documents.empty_document("")
         self._tick_count = 0
 
+    @property
+    def watched(self) -> int:
+        """Return the number of services watched."""
+        return len(self._watches_by_service)
+
+    def due_trial(self, service: str, now: float) -> str | None:
+        """Return the instance that an idempotent request should try now."""
+        watch = self._watches_by_service.get(service)
+        return None if watch is None else watch.detector.due_trial(now)
+
     def attempt_started(self, start: plugs.AttemptStart) -> None:
         """Note an attempt in flight, whose age is evidence of a stall."""
-        watching = self._detectors_by_service.get(start.service)
-        if watching is not None:
-            watching.started(start.instance_id, _key(start), _now())
+        watch = self._watches_by_service.get(start.service)
+        if watch is None:
+            if start.service not in self._document.services_by_name:
+                return
+            watch = self._watch(start.service, _now())
+        watch.in_flight += 1
+        watch.last_used = start.started
+        watch.detector.started(start.instance_id, _key(start), _now())
 
     def attempt_answered(self, start: plugs.AttemptStart, status: int) -> None:
         """Note the start of an answer; what follows is the caller's pace."""
@@ -75,45 +112,54 @@
     def attempt_ended(self, end: plugs.AttemptEnd) -> None:
         """Note how an attempt ended."""
         start = end.start
-        outcome = end.outcome
-        answered = isinstance(outcome, outcomes.Answered)
+        watch = self._watches_by_service.get(start.service)
+        if watch is None:
+            return
+        watch.in_flight = max(0, watch.in_flight - 1)
+        now = _now()
+        answered = isinstance(end.outcome, outcomes.Answered)
         if end.first_byte is None:
-            self._finish(start, outcome)
+            watch.detector.finished(_key(start), end.outcome, now)
         elif not answered:
             # The answer broke off: its start was good news, this is not.
-            self.attempt_started(start)
-            self._finish(start, outcome)
+            watch.detector.started(start.instance_id, _key(start), now)
+            watch.detector.finished(_key(start), end.outcome, now)
         if end.draining:
-            self._see_draining(start)
+            self._see_draining(start, watch.detector)
 
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         now = _now()
+        before = self._document
         self._document = document
-        before = self._detectors_by_service
-        self._detectors_by_service = {}
-        for name, service in document.services_by_name.items():
-            watching = before.get(name)
-            if watching is None:
-                watching = detector.Detector(self._own, service, now)
-            else:
-                watching.set_service(service, now)
-            self._detectors_by_service[name] = watching
+        for name, watch in list(self._watches_by_service.items()):
+            service = document.services_by_name.get(name)
+            if service is None:
+                del self._watches_by_service[name]
+            elif service is not before.services_by_name.get(name):
+                watch.detector.set_service(service, now)
 
     def set_assignment(self, assignment: assignments.Assignment) -> None:
-        """Take the home VMs of a service."""
-        watching = self._detectors_by_service.get(assignment.service)
-        if watching is not None:
-            watching.set_homes(assignment.homes, assignment.led, _now())
+        """Take the home VMs of a service; a home watches it."""
+        name = assignment.service
+        self._assignments_by_service[name] = assignment
+        watch = self._watches_by_service.get(name)
+        if watch is not None:
+            self._assign(watch, assignment)
+        elif self._own in assignment.homes:
+            self._watch(name, _now())
 
     def standing(
         self, service: str, instance: documents.Instance
     ) -> standings.Standing:
         """Return what this VM thinks of an instance."""
-        watching = self._detectors_by_service.get(service)
-        if watching is None:
-            return standings.HEALTHY
-        return watching.standings_by_id.get(instance.id, standings.HEALTHY)
+        watch = self._watches_by_service.get(service)
+        if watch is not None:
+            known = watch.detector.standings_by_id.get(instance.id)
+            return known or standings.HEALTHY
+        if instance.leaving:
+            return standings.Standing(standings.State.DRAINING)
+        return standings.HEALTHY
 
     async def run(self, exchange: Exchange) -> None:
         """Decide, exchange reports and probe until cancelled."""
@@ -129,51 +175,77 @@
         now = _now()
         self._tick_count += 1
         exchanging = self._tick_count % EXCHANGE_TICKS == 0
-        for name, watching in self._detectors_by_service.items():
+        for name, watch in list(self._watches_by_service.items()):
+            if watch.idle(now):
+                self._forget(name, watch)
+                continue
+            watching = watch.detector
             if exchanging:
                 for report in exchange.reports(name):
                     watching.heard(report, now)
             changed = watching.tick(now)
             for instance_id, standing in changed.items():
                 self._on_standing(name, instance_id, standing)
-            if exchanging or changed:
+            if watch.home and (exchanging or changed):
                 exchange.put_report(watching.report())
 
+    def _watch(self, name: str, now: float) -> _Watch:
+        service = self._document.services_by_name[name]
+        watching = detector.Detector(self._own, service, now)
+        watch = self._watches_by_service[name] = _Watch(watching, now)
+        assignment = self._assignments_by_service.get(name)
+        if assignment is not None:
+            self._assign(watch, assignment)
+        return watch
+
+    def _assign(
+        self, watch: _Watch, assignment: assignments.Assignment
+    ) -> None:
+        watch.home = self._own in assignment.homes
+        watch.detector.set_homes(assignment.homes, assignment.led, _now())
+
+    def _forget(self, name: str, watch: _Watch) -> None:
+        """Stop watching; what was held against instances is dropped."""
+        del self._watches_by_service[name]
+        for instance_id, standing in watch.detector.standings_by_id.items():
+            if standing != standings.HEALTHY:
+                self._on_standing(name, instance_id, standings.HEALTHY)
+
     def _due_probes(self) -> list[Target]:
         """Return what to probe now, with each service's probe path."""
         now = _now()
         targets = []
-        for service in self._document.services_by_name.values():
-            due = self._detectors_by_service[service.name].due_probes(now)
+        for name, watch in self._watches_by_service.items():
+            due = watch.detector.due_probes(now)
             if not due:
                 continue
+            service = self._document.services_by_name[name]
             instances_by_id = {each.id: each for each in service.instances}
             for each in due:
                 instance = instances_by_id.get(each.instance_id)
                 if instance is not None:
-                    targets.append(Target(service.name, instance, each.path))
+                    targets.append(Target(name, instance, each.path))
         return targets
 
     async def _probe(self, target: Target) -> None:
         result = await probes.probe(target.instance, target.path)
-        watching = self._detectors_by_service.get(target.service)
-        if watching is not None:
-            watching.probed(
+        watch = self._watches_by_service.get(target.service)
+        if watch is not None:
+            watch.detector.probed(
                 target.instance.id, result.healthy, result.draining, _now()
             )
 
     def _finish(
         self, start: plugs.AttemptStart, outcome: outcomes.Outcome
     ) -> None:
-        watching = self._detectors_by_service.get(start.service)
-        if watching is not None:
-            watching.finished(_key(start), outcome, _now())
+        watch = self._watches_by_service.get(start.service)
+        if watch is not None:
+            watch.detector.finished(_key(start), outcome, _now())
 
-    def _see_draining(self, start: plugs.AttemptStart) -> None:
+    def _see_draining(
+        self, start: plugs.AttemptStart, watching: detector.Detector
+    ) -> None:
         """Stop new work at once, before the next tick."""
-        watching = self._detectors_by_service.get(start.service)
-        if watching is None:
-            return
         watching.saw_draining(start.instance_id, _now())
         standing = watching.standings_by_id.get(start.instance_id)
         if standing is not None:
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -135,6 +135,10 @@
             return self._refuse(outcomes.RefusalReason.DEADLINE, now)
         return waiter.grant
 
+    def acquire_named(self, instance_id: str) -> documents.Instance | None:
+        """Take a slot of one instance for a trial, if it has one."""
+        return self.slots.acquire_named(trio.current_time(), instance_id)
+
     def try_acquire(self, wish: dispatch.Wish) -> documents.Instance | None:
         """Take a slot if one is free now that nobody waits for."""
         return self._dispatch.take_spare(wish, trio.current_time())
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -76,9 +76,11 @@
         """Make attempts until the request is resolved."""
         excluded = ANYWHERE
         while True:
-            instance = await self._context.dispatcher.acquire(
-                self._wish(excluded)
-            )
+            instance = self._take_trial()
+            if instance is None:
+                instance = await self._context.dispatcher.acquire(
+                    self._wish(excluded)
+                )
             if isinstance(instance, plugs.Refused):
                 return self._unknown or self._refuse(instance)
             self._flying = True
@@ -92,6 +94,18 @@
             self._on_retry(ending)
             excluded = frozenset({instance.id})
 
+    def _take_trial(self) -> documents.Instance | None:
+        """Take an instance that should be tried, for a first attempt."""
+        context = self._context
+        if self._attempts or not context.outgoing.idempotent:
+            return None
+        instance_id = context.observer.due_trial(
+            context.service, trio.current_time()
+        )
+        if instance_id is None:
+            return None
+        return context.dispatcher.acquire_named(instance_id)
+
     async def _pause_after(
         self, failure: Failure
     ) -> plugs.Refused | outcomes.Unknown | None:
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -55,7 +55,11 @@
 
 
 class Observer(typing.Protocol):
-    """Learns of every attempt, for detection."""
+    """Learns of every attempt, for detection, and asks for trials."""
+
+    def due_trial(self, service: str, now: float) -> str | None:
+        """Return the instance that an idempotent request should try now."""
+        ...
 
     def attempt_started(self, start: AttemptStart) -> None:
         """Note an attempt in flight, whose age is evidence of a stall."""
@@ -133,6 +137,10 @@
 class IgnoreAttempts:
     """Learns nothing."""
 
+    def due_trial(self, service: str, now: float) -> str | None:
+        """Return None: no trial is due."""
+        return None
+
     def attempt_started(self, start: AttemptStart) -> None:
         """Ignore the attempt."""
 
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -118,6 +118,14 @@
     "was reset.",
     ("error",),
 )
+STANDING_CHANGED = Event(
+    "PM4001",
+    "standing_changed",
+    Level.WARNING,
+    "This VM uses an instance in another way; the state and the reason tell "
+    "how and why.",
+    ("service", "instance_id", "state", "score", "reason"),
+)
 
 CATALOGUE = (
     VM_STARTED,
@@ -132,6 +140,7 @@
     REQUEST_UNKNOWN,
     ANSWER_ABORTED,
     REQUEST_FAILED,
+    STANDING_CHANGED,
 )
 
 
--- a/tests/proxy/test_detection.py
+++ b/tests/proxy/test_detection.py
@@ -48,7 +48,7 @@
     def note_answer(self, service, elapsed, now):
         self.latencies.append(elapsed)
 
-    def build(self):
+    def build(self, homes=(0, 1)):
         own = builders.home(0)
         self.detection = detection.Detection(
             own, self.note_standing, self.note_answer
@@ -58,7 +58,7 @@
             services_by_name={SERVICE: service}
         )
         self.detection.set_document(document)
-        homes = tuple(builders.home(number) for number in range(2))
+        homes = tuple(builders.home(number) for number in homes)
         self.detection.set_assignment(
             assignments.Assignment(SERVICE, homes, {"res-3": 0})
         )
@@ -154,6 +154,44 @@
 
         self.run_async(main)
 
+    def test_a_suspicion_that_a_peer_has_asks_for_a_trial(self):
+        async def main():
+            instance_ids = self.build()
+            for _ in range(50):
+                self.step(instance_ids)
+            instance_ids.remove("res-3")
+            for _ in range(300):
+                self.step(instance_ids)
+            self.assertIsNone(
+                self.detection.due_trial(SERVICE, trio.current_time())
+            )
+            entry = builders.entry("res-3", score=20.0)
+            self.exchange.received = [builders.report(1, entry)]
+            for _ in range(detection.EXCHANGE_TICKS):
+                self.step(instance_ids)
+            self.assertEqual(
+                "res-3",
+                self.detection.due_trial(SERVICE, trio.current_time()),
+            )
+
+        self.run_async(main)
+
+    def test_a_service_without_work_is_no_longer_watched(self):
+        async def main():
+            self.build(homes=(1, 2))
+            self.assertEqual(0, self.detection.watched)
+            self.step(["res-3"])
+            self.assertEqual(1, self.detection.watched)
+            self.clock.jump(detection.IDLE_LIFETIME - 1.0)
+            self.detection.tick(self.exchange)
+            self.assertEqual(1, self.detection.watched)
+            self.clock.jump(2.0)
+            self.detection.tick(self.exchange)
+            self.assertEqual(0, self.detection.watched)
+            self.assertEqual([], self.exchange.sent)
+
+        self.run_async(main)
+
     def test_the_latency_of_answers_is_passed_on(self):
         async def main():
             self.step(self.build())
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -61,6 +61,9 @@
         self.ends = []
         self.ended = trio.Event()
 
+    def due_trial(self, service, now):
+        return None
+
     def attempt_started(self, start):
         pass
 
--- a/tests/proxy/test_stop.py
+++ b/tests/proxy/test_stop.py
@@ -32,9 +32,13 @@
         await super().__call__(scope, receive, send)
 
 
+async def wait_until_leaving(vm):
+    while vm.read_status()["state"] != status.VmState.LEAVING:
+        await trio.sleep(0.01)
+
+
 class DaemonCase(testtools.TestCase):
     def run_with(self, check, service_time=0.0):
-        self.left = trio.Event()
         trio.run(functools.partial(self._run, check, service_time))
 
     async def _run(self, check, service_time):
@@ -46,7 +50,6 @@
             service = configuration.service_value(instances=[value], floor=1)
             store.publish(configuration.published(service))
             at = await nursery.start(asgi.serve, store, builders.IP)
-            parts = daemon.plain_parts()._replace(on_leaving=self.left.set)
             vm = daemon.Daemon(
                 settings.Settings(
                     configuration.FLEET,
@@ -59,7 +62,6 @@
                     0,
                 ),
                 random.Random(1),
-                parts=parts,
                 answer_lifetime=LIFETIME,
             )
             with trio.fail_after(20):
@@ -90,7 +92,7 @@
                 calls.start_soon(call, "before")
                 await self.backend.met.wait()
                 os.kill(os.getpid(), signal.SIGTERM)
-                await self.left.wait()
+                await wait_until_leaving(vm)
                 calls.start_soon(call, "during")
                 ready = await self.get(ports.admin_port, "/ready")
                 self.assertEqual(503, ready.status)
@@ -108,7 +110,7 @@
                     calls.start_soon(self.expect_cut_off, ports.caller_port)
                     await self.backend.met.wait()
                     os.kill(os.getpid(), signal.SIGTERM)
-                    await self.left.wait()
+                    await wait_until_leaving(vm)
                     os.kill(os.getpid(), signal.SIGTERM)
 
         self.run_with(check, service_time=1e9)
--- /dev/null
+++ b/tests/proxy/test_trials.py
@@ -0,0 +1,53 @@
+import testtools
+import trio
+
+from primrosemill.decisions import standings
+from primrosemill.proxy import plugs
+from primrosemill.standins import instance
+from tests.builders import path as builders
+
+SERVICE = "reservations"
+WANTED = "res-2"
+
+
+class WantTrials(plugs.IgnoreAttempts):
+    """Wants every request to try one instance."""
+
+    def due_trial(self, service, now):
+        return WANTED
+
+
+class TrialsTest(testtools.TestCase):
+    def count_runs(self, target, method):
+        """Send ten requests; returns how many the wanted instance ran."""
+        standins = [
+            instance.InstanceStandin(f"res-{number}", 3, 0.0)
+            for number in range(3)
+        ]
+
+        async def run():
+            async with trio.open_nursery() as nursery:
+                addresses = await builders.start_standins(nursery, standins)
+                decisions = plugs.plain()._replace(observer=WantTrials())
+                path = await builders.start_path(nursery, addresses, decisions)
+                path.application.set_standing(
+                    SERVICE,
+                    WANTED,
+                    standings.Standing(standings.State.EJECTED, share=0.0),
+                )
+                for number in range(10):
+                    response = await builders.call(
+                        path, target, f"r{number}", method
+                    )
+                    self.assertEqual(200, response.status)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        self.assertEqual(10, sum(len(each.runs) for each in standins))
+        return len(standins[2].runs)
+
+    def test_idempotent_requests_try_what_is_out_of_rotation(self):
+        self.assertEqual(10, self.count_runs(builders.IDEMPOTENT_PATH, "GET"))
+
+    def test_a_request_that_runs_once_is_no_trial(self):
+        self.assertEqual(0, self.count_runs(builders.ONCE_PATH, "POST"))
