Ask for second opinions with a trickle of idempotent requests

Where one VM used an instance nobody else met its sickness, so nobody could confirm it and it was never ejected: in the demo the two other VMs only ranked it last. They now send it a trickle of their own idempotent requests, as far as the floor allows. A live peer without a report counts as one that has nothing to say; before, the owner of ejections waited for reports that a healthy fleet never sends.

--- a/packages/decisions/src/primrosemill/decisions/deciding.py
+++ b/packages/decisions/src/primrosemill/decisions/deciding.py
@@ -26,9 +26,10 @@
         self._peers = heard
         self._limits = thresholds.from_weight(0.0)
         self._floor = 0
-        self._settling_since = now
+        self._settling_since = now + 2.0 * peers.MOST_DELAY
         self._general = False
         self._ranked_until_by_id: dict[str, float] = {}
+        self.opinions: frozenset[str] = NOBODY
         self.rotation = rotation.Rotation()
 
     def configure(self, limits: thresholds.Thresholds, floor: int) -> None:
@@ -77,9 +78,15 @@
             for instance_id, case in cases_by_id.items()
         ]
         if not suspects:
+            self.opinions = NOBODY
             return
         capacity = self._capacity(leaving, now)
         state_by_id = ejection.decide(suspects, capacity)
+        self.opinions = frozenset(
+            instance_id
+            for instance_id, state in state_by_id.items()
+            if state is standings.State.TRIAL
+        )
         for instance_id, state in state_by_id.items():
             self._apply(instance_id, cases_by_id[instance_id], state, now)
 
@@ -192,15 +199,19 @@
     def _wish_by_peers(
         self, entry: evidence.InstanceEvidence, fresh: list[peers.Heard]
     ) -> rotation.Case | None:
-        """Rank last what a peer avoids, until this VM knows better."""
+        """Try what a peer avoids, until this VM knows better itself.
+
+        Other work goes there only if the floor needs the instance.
+        """
         if entry.well:
             return None
+        state = standings.State.TRIAL
+        if entry.score >= self._limits.support:
+            state = standings.State.RANKED_LAST
         for heard in fresh:
             each = heard.by_instance.get(entry.instance_id)
             if each is not None and each.score >= self._limits.act:
-                return rotation.Case(
-                    standings.State.RANKED_LAST, entry.score, "peer avoids it"
-                )
+                return rotation.Case(state, entry.score, "peer avoids it")
         return None
 
     def _may_eject(self) -> bool:
@@ -238,6 +249,9 @@
     ) -> None:
         if case.state is standings.State.RANKED_LAST:
             return
+        if case.state is standings.State.TRIAL:
+            self._rank_last(instance_id, RANKED_HOLD, now)
+            return
         before = self.rotation.cases_by_id.get(instance_id)
         if state is standings.State.RANKED_LAST:
             hold = RANKED_HOLD
--- a/packages/decisions/src/primrosemill/decisions/detector.py
+++ b/packages/decisions/src/primrosemill/decisions/detector.py
@@ -135,7 +135,10 @@
         """
         entries = []
         for instance_id, standing in self.standings_by_id.items():
-            entry = self._decider.evidence_of(instance_id, standing.state)
+            state = standing.state
+            if instance_id in self._decider.opinions:
+                state = standings.State.RANKED_LAST
+            entry = self._decider.evidence_of(instance_id, state)
             # Nobody asks whether an instance is well that nobody suspects.
             well = entry.well and instance_id in self._suspected
             seen = self._drains.seen(instance_id)
@@ -156,7 +159,7 @@
             return instance_id
         if now < self._next_opinion:
             return None
-        instance_id = self._due_opinion(now)
+        instance_id = self._due_opinion()
         if instance_id is not None:
             self._next_opinion = now + OPINION_INTERVAL
         return instance_id
@@ -208,23 +211,12 @@
             self._board.restart_opinion(instance_id)
         self._suspected = suspected
 
-    def _due_opinion(self, now: float) -> str | None:
-        suspected = self._peers.suspected(now, self._limits.act)
-        for instance_id in sorted(suspected & self.standings_by_id.keys()):
-            if self._lacks_opinion(instance_id):
+    def _due_opinion(self) -> str | None:
+        for instance_id in sorted(self._decider.opinions):
+            if not self._board.records_by_id[instance_id].in_flight:
                 return instance_id
         return None
 
-    def _lacks_opinion(self, instance_id: str) -> bool:
-        if self.standings_by_id[instance_id].share <= 0.0:
-            return False
-        record = self._board.records_by_id[instance_id]
-        return (
-            not record.in_flight
-            and record.score < self._limits.support
-            and not self._board.finds_well(instance_id)
-        )
-
     def _unsettled(self, now: float) -> set[str]:
         """Return the instances that are or were not simply in rotation."""
         unsettled = self._remarkable & self.standings_by_id.keys()
@@ -232,6 +224,7 @@
         unsettled |= self._board.cold()
         unsettled |= self._decider.rotation.cases_by_id.keys()
         unsettled |= self._decider.ranked_last(now)
+        unsettled |= self._decider.opinions
         return unsettled
 
     def _publish(self, instance_id: str, now: float) -> None:
@@ -259,6 +252,9 @@
             score = max(score, case.score)
             if rotation.in_trial(instance_id):
                 state = standings.State.TRIAL
+        elif instance_id in self._decider.opinions:
+            state, reason = standings.State.TRIAL, "second opinion"
+            share = 0.0
         elif instance_id in self._decider.ranked_last(now):
             state, reason = standings.State.RANKED_LAST, "suspect"
         elif instance_id in self._board.cold():
--- a/packages/decisions/src/primrosemill/decisions/ejection.py
+++ b/packages/decisions/src/primrosemill/decisions/ejection.py
@@ -13,7 +13,8 @@
 class Suspect(typing.NamedTuple):
     """An instance that is out or should be, and what this VM wishes for.
 
-    ``wish`` is AVOIDED or EJECTED. ``out`` tells that it is out already.
+    ``wish`` is AVOIDED, EJECTED, or TRIAL to send it but a trickle. ``out``
+    tells that it is out already.
     """
 
     instance_id: str
@@ -37,7 +38,7 @@
 def decide(
     suspects: typing.Sequence[Suspect], capacity: Capacity
 ) -> dict[str, standings.State]:
-    """Return AVOIDED, EJECTED or RANKED_LAST for each suspect.
+    """Return the wish of each suspect, or RANKED_LAST.
 
     What is out stays out unless the floor calls it back, the least suspect
     first. What is not yet out goes out, the most suspect first, while the
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -146,7 +146,7 @@
                 nursery.start_soon(self._keep_house)
                 nursery.start_soon(self._application.wake_waiters)
                 nursery.start_soon(self._keep_homes)
-                nursery.start_soon(self._detection.run, self.peers.node)
+                nursery.start_soon(self._detection.run, self.peers)
                 collector.settle()
                 self._announce(
                     Ports(caller_port, admin_port, peer_port), task_status
--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -35,6 +35,10 @@
         """Return what the other home VMs report on a service."""
         ...
 
+    def is_live(self, vm_id: str) -> bool:
+        """Tell whether a VM was heard lately."""
+        ...
+
 
 class Target(typing.NamedTuple):
     """An instance to probe, and at which path."""
@@ -58,6 +62,7 @@
         self._on_answer = on_answer
         self._detectors_by_service: dict[str, detector.Detector] = {}
         self._document = documents.empty_document("")
+        self._homes_by_service: dict[str, tuple[home_vms.Vm, ...]] = {}
         self._tick_count = 0
 
     def attempt_started(self, start: plugs.AttemptStart) -> None:
@@ -102,6 +107,7 @@
 
     def set_assignment(self, assignment: assignments.Assignment) -> None:
         """Take the home VMs of a service."""
+        self._homes_by_service[assignment.service] = assignment.homes
         watching = self._detectors_by_service.get(assignment.service)
         if watching is not None:
             watching.set_homes(assignment.homes, assignment.led, _now())
@@ -131,7 +137,7 @@
         exchanging = self._tick_count % EXCHANGE_TICKS == 0
         for name, watching in self._detectors_by_service.items():
             if exchanging:
-                for report in exchange.reports(name):
+                for report in self._reports(name, exchange):
                     watching.heard(report, now)
             changed = watching.tick(now)
             for instance_id, standing in changed.items():
@@ -139,6 +145,24 @@
             if exchanging or changed:
                 exchange.put_report(watching.report())
 
+    def _reports(
+        self, service: str, exchange: Exchange
+    ) -> list[evidence.Report]:
+        """Return the reports of all live home VMs.
+
+        Who is live and sent none has nothing to say.
+        """
+        reports = exchange.reports(service)
+        told = {report.vm_id for report in reports}
+        for home in self._homes_by_service.get(service, ()):
+            if home.id in told or home.id == self._own.id:
+                continue
+            if exchange.is_live(home.id):
+                reports.append(
+                    evidence.Report(home.id, home.domain, service, ())
+                )
+        return reports
+
     def _due_probes(self) -> list[Target]:
         """Return what to probe now, with each service's probe path."""
         now = _now()
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -8,6 +8,7 @@
 
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import evidence
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import node
@@ -65,6 +66,21 @@
         """Take part in the fleet; reports the port for peers."""
         await self.node.run(task_status=task_status)
 
+    def put_report(self, report: evidence.Report) -> None:
+        """Take this VM's newest evidence on a service."""
+        self.node.put_report(report)
+
+    def reports(self, service: str) -> list[evidence.Report]:
+        """Return what the other home VMs report on a service."""
+        return self.node.reports(service)
+
+    def is_live(self, vm_id: str) -> bool:
+        """Tell whether a VM was heard lately."""
+        if self.node.membership is None:
+            return False
+        member = self.node.membership.table.members_by_id.get(vm_id)
+        return member is not None and member.state is members.State.LIVE
+
     def present(self) -> list[members.Member]:
         """Return the other VMs that are not gone."""
         if self.node.membership is None:
