--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -36,6 +36,10 @@
         """Return what the other home VMs report on a service."""
         ...
 
+    def is_live(self, vm_id: str) -> bool:
+        """Tell whether a VM was heard lately."""
+        ...
+
 
 class Target(typing.NamedTuple):
     """An instance to probe, and at which path."""
@@ -181,7 +185,7 @@
                 continue
             watching = watch.detector
             if exchanging:
-                for report in exchange.reports(name):
+                for report in self._reports(name, exchange):
                     watching.heard(report, now)
             changed = watching.tick(now)
             for instance_id, standing in changed.items():
@@ -211,6 +215,25 @@
             if standing != standings.HEALTHY:
                 self._on_standing(name, instance_id, standings.HEALTHY)
 
+    def _reports(
+        self, service: str, exchange: Exchange
+    ) -> list[evidence.Report]:
+        """Return the reports of all live home VMs.
+
+        Who is live and sent none has nothing to say.
+        """
+        reports = exchange.reports(service)
+        told = {report.vm_id for report in reports}
+        assignment = self._assignments_by_service.get(service)
+        for home in assignment.homes if assignment is not None else ():
+            if home.id in told or home.id == self._own.id:
+                continue
+            if exchange.is_live(home.id):
+                reports.append(
+                    evidence.Report(home.id, home.domain, service, ())
+                )
+        return reports
+
     def _due_probes(self) -> list[Target]:
         """Return what to probe now, with each service's probe path."""
         now = _now()
