Free the slot before a held answer goes on to its caller

A caller that reads slowly held one of an instance's two or three slots, and its slowness counted as the instance's. Answers that are here whole now release slot and connection first; the test fails without that.

--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -189,6 +189,10 @@
     async def _relay(
         self, flight: flights.Flight, answer: attempts.Answer
     ) -> Relayed | Aborted:
+        if answer.whole:
+            # A caller that reads slowly must not hold the slot meanwhile.
+            flight.delivered = True
+            await self._land(flight)
         cut_off = await self._caller.relay(answer, flight.attempt)
         flight.delivered = True
         if cut_off is None:
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from primrosemill.decisions import outcomes
+from primrosemill.proxy import callers
 from primrosemill.proxy import plugs
 from primrosemill.standins import faults
 from primrosemill.standins import instance
@@ -356,6 +357,22 @@
 
         self.run_with([never_answer], check, deadline=3_600.0)
 
+    def test_a_whole_answer_frees_its_slot_before_it_goes_on(self):
+        ends_before = []
+        relay = callers.Caller.relay
+
+        async def spy(caller, answer, attempt):
+            ends_before.append(len(self.recorder.ends))
+            return await relay(caller, answer, attempt)
+
+        async def check(path, raws):
+            await builders.call(path, builders.IDEMPOTENT_PATH)
+            self.assertEqual([1], ends_before)
+            self.assertFalse(self.recorder.ends[0].abandoned)
+
+        self.patch(callers.Caller, "relay", spy)
+        self.run_with([answer_whole], check)
+
     def test_an_upgrade_is_answered_as_any_request(self):
         async def check(path, raws):
             for upgrade in ("websocket", "h2c"):
