--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -116,6 +116,10 @@
         """Return how many requests wait for a slot of a service."""
         return self._dispatchers_by_service[service].waiting
 
+    def busy(self, service: str) -> int:
+        """Return how many slots of a service this VM uses."""
+        return self._dispatchers_by_service[service].slots.busy
+
     def _wake(self) -> None:
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.wake()
--- a/tests/builders/chaos.py
+++ b/tests/builders/chaos.py
@@ -71,6 +71,8 @@
                     callers.start_soon(
                         _call_often, run, number, once_path, generator
                     )
+            # Ends once no connection and no request is left.
+            await path.server.drain()
             nursery.cancel_scope.cancel()
     return run
 
--- a/tests/proxy/test_histories.py
+++ b/tests/proxy/test_histories.py
@@ -26,15 +26,23 @@
             run = chaos.record(seed, builders.ONCE_PATH, plugs.plain())
             recorded = chaos.history_of(run)
             self.assertEqual((), history.check(recorded), f"seed {seed}")
+            self.assert_nothing_left(run)
             outcomes.update(call.outcome for call in recorded.calls)
         self.assertGreater(outcomes[history.ANSWERED], 0)
         self.assertGreater(outcomes[history.UNKNOWN], 0)
 
+    def assert_nothing_left(self, run):
+        application = run.path.application
+        self.assertEqual(0, application.in_flight)
+        self.assertEqual(0, application.busy("reservations"))
+        self.assertEqual(0, application.waiting("reservations"))
+
     def test_no_promise_is_broken_by_hedges(self):
         decisions = plugs.plain()._replace(retries=HedgeSoon())
         run = chaos.record(4, builders.ONCE_PATH, decisions)
         recorded = chaos.history_of(run)
         self.assertEqual((), history.check(recorded))
+        self.assert_nothing_left(run)
 
     def test_a_proxy_that_forgets_what_it_wrote_is_caught(self):
         forgetful = property(lambda stream: False, lambda stream, value: None)
