--- a/tests/builders/path.py
+++ b/tests/builders/path.py
@@ -40,6 +40,7 @@
     decisions: plugs.Plugs | None = None,
     deadline: float = 5.0,
     slots: int = 3,
+    on_failure: typing.Callable[[Exception], None] = server.log_failure,
 ) -> Path:
     """Start a proxy before the instances at the given addresses."""
     made = application.Application(random.Random(1), decisions)
@@ -55,7 +56,7 @@
     )
     made.set_document(configuration.assembled(service).document)
     nursery.start_soon(made.wake_waiters)
-    serving = server.Server(made)
+    serving = server.Server(made, on_failure)
     port = await nursery.start(serving.run, IP, 0)
     return Path(made, serving, port)
 
