--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -20,7 +20,9 @@
 SUSPICION_TIMEOUT = 1.0  # seconds
 REJOIN_INTERVAL = 1.0  # seconds
 PAUSE = 1.0  # seconds without a tick after which this VM doubts itself
-SILENCE = 1.0  # seconds without a message after which it does, too
+# Seconds without a message after which it does, too; below the timeout of a
+# probe, so that the doubt comes before the suspicion of others.
+SILENCE = 0.5
 LONGEST_SILENCE = 3.0  # seconds after which silence is believed
 HELPERS = 3
 # Bytes of entries in one message: the rest of a datagram holds the envelope,
@@ -201,6 +203,7 @@
         ):
             self._update_own(incarnation=ping.believed_incarnation + 1)
         self.merge((ping.sender, *ping.entries), now)
+        self._drop_probes_of(ping.sender)
         changes = self._take_changes()
         doubted = self.table.members_by_id.get(ping.sender.vm_id)
         if doubted is not None and doubted.entry != ping.sender:
@@ -209,6 +212,15 @@
         ack = messages.Ack(ping.nonce, self.own, self.version, changes)
         return [Outgoing(ping.sender.ip, ping.sender.port, ack)]
 
+    def _drop_probes_of(self, sender: messages.Entry) -> None:
+        """Take a VM's own message for the answer to a probe of it."""
+        for nonce, probe in list(self._probes_by_nonce.items()):
+            target = probe.target
+            if target.vm_id != sender.vm_id:
+                continue
+            if target.incarnation == sender.incarnation:
+                del self._probes_by_nonce[nonce]
+
     def _receive_ack(self, ack: messages.Ack, now: float) -> list[Outgoing]:
         self.merge((ack.sender, *ack.entries), now)
         probe = self._probes_by_nonce.pop(ack.nonce, None)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -137,6 +137,84 @@
         self.assertEqual({State.GONE}, self.states("vm-2"))
 
 
+class GuardTest(testtools.TestCase):
+    """Tests each guard alone, in one view without a network."""
+
+    def setUp(self):
+        super().setUp()
+        self.view = membership.Membership(
+            builders.entry(0), (), random.Random(1), 0.0
+        )
+        self.view.merge([builders.entry(each) for each in (1, 2, 3)], 0.0)
+
+    def run_ticks(self, start, end, heard=()):
+        now = start
+        while now < end:
+            for number in heard:
+                self.view.receive(builders.ping(number), now)
+            self.view.tick(now)
+            now += 0.1
+
+    def suspects(self):
+        return sorted(self.view.table.suspect_ids)
+
+    def test_a_pause_makes_no_suspects(self):
+        self.run_ticks(0.0, 0.3)
+        self.view.receive(builders.ping(1), 10.0)
+        self.view.tick(10.0)
+        self.view.tick(10.1)
+        self.assertEqual([], self.suspects())
+
+    def test_a_pause_gives_suspects_their_time_again(self):
+        self.run_ticks(0.0, 1.3, heard=(1, 2))
+        self.assertEqual(["vm-3"], self.suspects())
+        self.run_ticks(10.0, 10.9, heard=(1, 2))
+        self.assertEqual(["vm-3"], self.suspects())
+
+    def test_a_vm_that_hears_nobody_doubts_itself_for_a_while(self):
+        self.run_ticks(0.0, 0.5, heard=(1, 2, 3))
+        self.run_ticks(0.5, 3.0)
+        self.assertEqual([], self.suspects())
+        self.assertEqual(4, len(self.view.usable_ids()))
+        self.run_ticks(3.0, 9.0)
+        self.assertEqual(["vm-0"], self.view.usable_ids())
+
+    def test_an_incarnation_rises_above_the_one_that_others_know(self):
+        ping = builders.ping(1, believed_incarnation=5)
+        self.view.receive(ping, 0.0)
+        self.assertEqual(6, self.view.own.incarnation)
+        heard = builders.entry(0, incarnation=9)
+        self.view.receive(builders.ping(1, entries=(heard,)), 0.0)
+        self.assertEqual(10, self.view.own.incarnation)
+
+    def test_a_vm_held_gone_is_told_so_when_it_asks(self):
+        gone = builders.entry(1)._replace(liveness=messages.Liveness.GONE)
+        self.view.merge([gone], 0.0)
+        for _ in range(100):
+            self.view.tick(0.1)
+            self.view._take_changes()
+        ack = self.view.receive(builders.ping(1), 0.2)[0].message
+        self.assertEqual((gone,), ack.entries)
+
+    def test_a_suspicion_of_this_vm_is_refuted(self):
+        suspect = builders.entry(0)._replace(
+            liveness=messages.Liveness.SUSPECT
+        )
+        ping = builders.ping(1, entries=(suspect,))
+        ack = self.view.receive(ping, 0.0)[0].message
+        self.assertEqual(1, ack.sender.counter)
+        self.assertIs(messages.Liveness.LIVE, ack.sender.liveness)
+
+    def test_a_later_vm_at_an_address_ends_the_one_before(self):
+        later = builders.entry(1, vm_id="vm-new", incarnation=2)
+        self.view.merge([later], 1.0)
+        self.assertIs(State.GONE, self.view.state_of("vm-1"))
+        self.assertIs(State.LIVE, self.view.state_of("vm-new"))
+        earlier = builders.entry(1, vm_id="vm-old", incarnation=1)
+        self.view.merge([earlier], 2.0)
+        self.assertIs(State.GONE, self.view.state_of("vm-old"))
+
+
 class DatagramTest(testtools.TestCase):
     def test_a_message_full_of_long_names_fits_a_datagram(self):
         long_names = {"domain": "d" * 64, "ip": "f" * 39}
