--- a/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
@@ -2,7 +2,7 @@
 
 Pure. Each message holds the whole report on a service, so a lost one costs
 a moment only. A report is sent when it has changed and now and then besides,
-within a byte budget; signs that an instance drains go at once. A report
+within a byte budget; that an instance drains or is out goes at once. A report
 counts only while its sender is in the fleet under the same incarnation and
 its evidence is young by this VM's own clock.
 """
@@ -13,6 +13,7 @@
 import msgspec
 
 from primrosemill.decisions import evidence
+from primrosemill.decisions import standings
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 
@@ -22,6 +23,7 @@
 REFRESH_INTERVAL = 1.0
 QUIET_INTERVAL = 2.0
 EVIDENCE_AGE = 3.0  # seconds for which a report has weight
+OUT_OF_ROTATION = frozenset({standings.State.AVOIDED, standings.State.EJECTED})
 SCORE_STEP = 0.5  # change of a score that is worth a message
 BYTE_RATE = 4_000.0  # bytes of messages a second that this VM may send
 BYTE_BURST = 4_000.0  # bytes
@@ -90,13 +92,20 @@
     return False
 
 
-def has_new_drain(
+def _is_urgent(each: evidence.InstanceEvidence) -> bool:
+    """Tell whether peers should stop sending work to an instance."""
+    return each.draining or each.state in OUT_OF_ROTATION
+
+
+def has_urgent_news(
     new: tuple[evidence.InstanceEvidence, ...],
     old: tuple[evidence.InstanceEvidence, ...],
 ) -> bool:
-    """Tell whether a report holds a sign of draining that the old lacks."""
-    known = {each.instance_id for each in old if each.draining}
-    return any(each.draining and each.instance_id not in known for each in new)
+    """Tell whether peers should hear of an instance at once."""
+    told = {each.instance_id for each in old if _is_urgent(each)}
+    return any(
+        _is_urgent(each) and each.instance_id not in told for each in new
+    )
 
 
 class Outbox:
@@ -154,7 +163,7 @@
         if sent is None:
             return True
         report = self._reports_by_service[target.service].report
-        if has_new_drain(report.instances, sent.instances):
+        if has_urgent_news(report.instances, sent.instances):
             return True
         waited = now - sent.time
         refresh = REFRESH_INTERVAL if report.instances else QUIET_INTERVAL
@@ -165,17 +174,17 @@
         return has_changed(report.instances, sent.instances)
 
     def _urgency(self, due: tuple[str, list[str]]) -> tuple[bool, float]:
-        """Put signs of draining first, then who has waited longest."""
+        """Put urgent news first, then who has waited longest."""
         vm_id, services = due
-        drains = False
+        urgent = False
         oldest = float("inf")
         for service in services:
             sent = self._sent_by_target.get(_Target(vm_id, service))
             before = () if sent is None else sent.instances
             report = self._reports_by_service[service].report
-            drains = drains or has_new_drain(report.instances, before)
+            urgent = urgent or has_urgent_news(report.instances, before)
             oldest = min(oldest, 0.0 if sent is None else sent.time)
-        return not drains, oldest
+        return not urgent, oldest
 
     def _fill(
         self, vm_id: str, services: list[str], now: float, stamp: int
--- a/tests/fleet/test_evidence_exchange.py
+++ b/tests/fleet/test_evidence_exchange.py
@@ -55,12 +55,24 @@
         self.put(healthy(1, 2.2), builders.instance_evidence(3, well=True))
         self.assertEqual(["res-1", "res-3"], self.take(0.6))
 
+    def test_what_goes_out_of_rotation_does_not_wait(self):
+        self.put(healthy(4, score=2.0))
+        self.assertEqual(["res-4"], self.take(0.0))
+        self.put(builders.instance_evidence(4, state=standings.State.AVOIDED))
+        self.assertEqual(["res-4"], self.take(0.01))
+
+    def test_that_an_instance_is_found_well_is_told(self):
+        self.put(healthy(4, score=2.0))
+        self.take(0.0)
+        self.put(healthy(4, score=2.0)._replace(well=True))
+        self.assertEqual(["res-4"], self.take(1.0))
+
     def test_changes_are_batched_but_for_a_drain_sign(self):
         self.put()
         self.take(0.0)
-        self.put(builders.instance_evidence(3))
+        self.put(healthy(3, score=2.0))
         self.assertIsNone(self.take(0.1))
-        self.put(builders.instance_evidence(3, draining=True))
+        self.put(healthy(3, score=2.0)._replace(draining=True))
         self.assertEqual(["res-3"], self.take(0.1))
         self.assertIsNone(self.take(0.2))
 
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -64,6 +64,9 @@
     def attempt_started(self, start):
         pass
 
+    def attempt_answered(self, start, status):
+        pass
+
     def attempt_ended(self, end):
         self.ends.append(end)
         self.ended.set()
@@ -248,6 +251,23 @@
             check,
         )
 
+    def test_surplus_bytes_are_never_taken_for_the_next_answer(self):
+        async def answer_twice(stream, count):
+            body = f"{len(raw_heads)}".encode()
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n"
+            await stream.send_all((head + body) * 2)
+            return True
+
+        raw_heads = []
+
+        async def check(path, raws):
+            for number in range(5):
+                raw_heads.append(number)
+                response = await builders.call(path, builders.IDEMPOTENT_PATH)
+                self.assertEqual(f"{number + 1}".encode(), response.content)
+
+        self.run_with([answer_twice], check)
+
     def test_a_connection_found_closed_is_not_used_again(self):
         async def check(path, raws):
             for number in range(3):
@@ -312,6 +332,33 @@
         # The deadline is far, so only the caller's leaving can cancel.
         self.run_with([wait_for_close], check, deadline=3_600.0)
 
+    def test_a_drain_answers_what_an_idle_connection_still_sends(self):
+        async def check(path, raws):
+            stream = await self.raw_call(path)
+            await stream.receive_some(65_536)
+            path.application.closing = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(path.server.drain)
+                await trio.testing.wait_all_tasks_blocked()
+                await stream.send_all(
+                    b"GET /slots/x HTTP/1.1\r\nhost: a\r\n\r\n"
+                )
+                answer = b"".join([data async for data in stream])
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+            self.assertIn(b"connection: close", answer.lower())
+
+        self.run_with([answer_whole], check)
+
+    def test_a_caller_that_leaves_at_once_is_noticed(self):
+        async def check(path, raws):
+            for _ in range(10):
+                stream = await self.raw_call(path)
+                await stream.aclose()
+            # The server stops only when no request is in flight any more.
+            await path.server.drain()
+
+        self.run_with([never_answer], check, deadline=3_600.0)
+
     def test_an_upgrade_is_answered_as_any_request(self):
         async def check(path, raws):
             for upgrade in ("websocket", "h2c"):
