Tell noticing from ejecting in the demo

A VM that ranks a suspect last gives it no work while others are free, though it has not ejected it. The promise of a sick instance taken out becomes two: no VM prefers it any more, and every VM has ejected it, each within 5 s. An instance on trial counts as out of rotation for the floor.

--- a/packages/measure/src/primrosemill/measure/demo.py
+++ b/packages/measure/src/primrosemill/measure/demo.py
@@ -12,7 +12,6 @@
 import click
 import trio
 
-from primrosemill.decisions import standings
 from primrosemill.measure import demo_callers
 from primrosemill.measure import demo_fleet
 from primrosemill.measure import demo_report
@@ -31,7 +30,6 @@
 LEAVING_PATIENCE = 10.0  # seconds
 LEAVING_ID = "entry-0"
 CUT_OFF_ID = "entry-2"
-IN_STATES = frozenset({standings.State.IN_ROTATION.value})
 
 
 class Demo:
@@ -119,30 +117,53 @@
         self._begin("before detection", f"{SICK_ID} stalls, its probes lie")
         began = trio.current_time()
         runs_before = len(sick.runs)
-        detection = None
-        if await watch.wait_until(
-            SICK_ID, demo_watch.OUT_STATES, DETECTION_PATIENCE
-        ):
-            detection = trio.current_time() - began
+        detection = await self._time_until(
+            watch, demo_watch.SHUNNED_STATES, DETECTION_PATIENCE
+        )
+        if detection is None:
+            self._begin("not noticed", "not every VM noticed it")
+        else:
             self._begin(
-                "taken out",
-                f"every VM took it out within {detection:.2f} s; it had "
+                "noticed",
+                f"no VM prefers it any more, {detection:.2f} s later; it had "
                 f"received {len(sick.runs) - runs_before} requests",
             )
+        ejection = await self._time_until(
+            watch, demo_watch.EJECTED_STATES, DETECTION_PATIENCE
+        )
+        if ejection is None:
+            self._say("not every VM ejected it")
         else:
-            self._begin("not taken out", "not every VM took it out")
+            ejection = trio.current_time() - began
+            self._begin("ejected", f"every VM ejected it, {ejection:.2f} s in")
         await trio.sleep(OUT_SECONDS)
+        self._say(
+            f"while sick it received {len(sick.runs) - runs_before} requests"
+        )
         sick.set_sickness(faults.Sickness())
         self._begin("recovering", f"{SICK_ID} is well again")
+        recovery = await self._time_until(
+            watch, demo_watch.REGULAR_STATES, RECOVERY_PATIENCE
+        )
+        if recovery is None:
+            self._begin("not back", "not every VM uses it again")
+        else:
+            self._begin("back", f"every VM uses it, {recovery:.2f} s later")
         if detection is None:
-            return demo_report.Times()
+            recovery = None
+        return demo_report.Times(detection, ejection, recovery)
+
+    async def _time_until(
+        self,
+        watch: demo_watch.Watch,
+        states: frozenset[str],
+        patience: float,
+    ) -> float | None:
+        """Return how long it took every VM to have it in some states."""
         began = trio.current_time()
-        if not await watch.wait_until(SICK_ID, IN_STATES, RECOVERY_PATIENCE):
-            self._begin("not back", "not every VM uses it again")
-            return demo_report.Times(detection, None)
-        recovery = trio.current_time() - began
-        self._begin("back", f"every VM uses it again, {recovery:.2f} s later")
-        return demo_report.Times(detection, recovery)
+        if await watch.wait_until(SICK_ID, states, patience):
+            return trio.current_time() - began
+        return None
 
     async def _publish(
         self, fleet: demo_fleet.Fleet, watch: demo_watch.Watch
--- a/packages/measure/src/primrosemill/measure/demo_report.py
+++ b/packages/measure/src/primrosemill/measure/demo_report.py
@@ -31,6 +31,7 @@
     """How long things took in seconds; None: not at all."""
 
     detection: float | None = None
+    ejection: float | None = None
     recovery: float | None = None
     spread: float | None = None
     leaving: float | None = None
@@ -112,10 +113,16 @@
             _examples([(call.tag, _ending(call)) for call in unanswered]),
         ),
         Promise(
-            f"the sick instance out on every VM within {DETECTION_LIMIT:g} s",
+            "no VM prefers the sick instance any more within "
+            f"{DETECTION_LIMIT:g} s",
             _within(times.detection, DETECTION_LIMIT),
             _describe_time(times.detection),
         ),
+        Promise(
+            f"every VM has ejected it within {DETECTION_LIMIT:g} s",
+            _within(times.ejection, DETECTION_LIMIT),
+            _describe_time(times.ejection),
+        ),
         Promise(
             "no instance that was well taken out",
             not wrongly_out,
--- a/packages/measure/src/primrosemill/measure/demo_watch.py
+++ b/packages/measure/src/primrosemill/measure/demo_watch.py
@@ -8,9 +8,15 @@
 from primrosemill.measure import demo_fleet
 
 INTERVAL = 0.02  # seconds between two looks
-OUT_STATES = frozenset(
-    {standings.State.EJECTED.value, standings.State.AVOIDED.value}
+REGULAR_STATES = frozenset(
+    {standings.State.IN_ROTATION.value, standings.State.COLD.value}
 )
+SHUNNED_STATES = (
+    frozenset(state.value for state in standings.State) - REGULAR_STATES
+)
+EJECTED_STATES = frozenset({standings.State.EJECTED.value})
+# What is ranked last still takes work when nothing better is free.
+OUT_STATES = SHUNNED_STATES - {standings.State.RANKED_LAST.value}
 
 
 class Change(typing.NamedTuple):
--- a/tests/measure/test_demo.py
+++ b/tests/measure/test_demo.py
@@ -3,7 +3,7 @@
 from primrosemill.measure import demo_report
 from tests.builders import demo as builders
 
-GOOD = demo_report.Times(1.0, 2.0, 1.0, 3.0)
+GOOD = demo_report.Times(1.0, 2.0, 9.0, 1.0, 3.0)
 RAN = {"a": 1}
 
 
@@ -36,22 +36,24 @@
             ([0, 1], broken([builders.met("a", outcome="not-run")])),
             ([1], broken([builders.met("a", outcome="unknown")])),
             ([1], broken([builders.met("a", status=500)])),
-            ([1, 7], broken([builders.met("a", broken=True)])),
+            ([1, 8], broken([builders.met("a", broken=True)])),
             ([2], broken([met], times=GOOD._replace(detection=None))),
             ([2], broken([met], times=GOOD._replace(detection=5.1))),
+            ([3], broken([met], times=GOOD._replace(ejection=None))),
+            ([3], broken([met], times=GOOD._replace(ejection=5.1))),
             (
-                [3],
+                [4],
                 broken(
                     [met], watch=builders.watch(("reservations-2", "avoided"))
                 ),
             ),
-            ([4], broken([met], watch=few)),
-            ([5], broken([met], times=GOOD._replace(recovery=None))),
-            ([6], broken([met], times=GOOD._replace(spread=None))),
-            ([6], broken([met], times=GOOD._replace(spread=5.1))),
-            ([7], broken([met], times=GOOD._replace(leaving=None))),
+            ([5], broken([met], watch=few)),
+            ([6], broken([met], times=GOOD._replace(recovery=None))),
+            ([7], broken([met], times=GOOD._replace(spread=None))),
+            ([7], broken([met], times=GOOD._replace(spread=5.1))),
+            ([8], broken([met], times=GOOD._replace(leaving=None))),
             (
-                [7],
+                [8],
                 broken([builders.met("a", idempotent=False, broken=True)]),
             ),
         ]
