--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -23,6 +23,10 @@
 STEP = 0.1  # seconds between looks at what is due
 STORE_STEP = 0.25  # seconds between looks whether to watch the store
 
+# VMs chosen at random that hear of a new version at once: the randomized
+# forwarding of Banerjee et al., "Resilient Multicast using Overlays".
+CROSS_EDGES = 3
+
 DocumentHandler = typing.Callable[[documents.Document], None]
 
 
@@ -80,6 +84,8 @@
             self._view.version = self._configuration.version
             self._on_document(document)
             self.in_force.set()
+            for each in self._view.announce_version(CROSS_EDGES):
+                await self._link.send(each.ip, each.port, each.message)
 
     async def follow_store(self) -> None:
         """Watch the store whenever this VM is one of those that should."""
@@ -137,7 +143,7 @@
                 self._watch.note_failure(trio.current_time())
                 return False
             values_by_key[key] = part.ok
-        self._offer(index_value, values_by_key, spread.Source.STORE)
+        await self._offer(index_value, values_by_key, spread.Source.STORE)
         return True
 
     async def _read_part(self, key: str) -> typing.Any:
@@ -150,13 +156,21 @@
             return {}
         return dict(self._configuration.assembled.values_by_key)
 
-    def _offer(
+    async def _offer(
         self,
         index_value: bytes,
         values_by_key: dict[str, bytes],
         source: spread.Source,
     ) -> bool:
-        result = self._configuration.offer(index_value, values_by_key, source)
+        """Check a version, with pauses in which requests go on."""
+        steps = assembly.assemble_in_steps(
+            index_value, values_by_key, self._configuration.assembled
+        )
+        outcome = next(steps)
+        while outcome is None:
+            await trio.lowlevel.checkpoint()
+            outcome = next(steps)
+        result = self._configuration.accept(outcome, source)
         if result.is_error():
             self._refuse(source, result.error.faults)
             return False
@@ -208,7 +222,9 @@
         if collected is None:
             return False
         values_by_key.update(collected)
-        return self._offer(index_value, values_by_key, spread.Source.PEER)
+        return await self._offer(
+            index_value, values_by_key, spread.Source.PEER
+        )
 
     async def pull_members(self, entry: messages.Entry) -> None:
         """Merge the table of members of another VM."""
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -27,6 +27,14 @@
 HomesByService = typing.Callable[[], typing.Mapping[str, list[str]]]
 
 
+# Gets a report that has weight, and when its evidence ended by this clock.
+ReportHandler = typing.Callable[[evidence.Report, float], None]
+
+
+def _ignore_report(report: evidence.Report, measured: float) -> None:
+    pass
+
+
 class Identity(typing.NamedTuple):
     """Who this process is; the incarnation is its start in ms."""
 
@@ -53,6 +61,7 @@
     on_document: follower.DocumentHandler
     homes_by_service: HomesByService = dict
     observe: observations.Observer = observations.ignore
+    on_report: ReportHandler = _ignore_report
 
 
 class Node:
@@ -65,7 +74,9 @@
         platform: Platform,
         hooks: Hooks,
         generator: random.Random,
+        link_type: type[transport.Transport] = transport.Transport,
     ) -> None:
+        self._link_type = link_type
         self._identity = identity
         self._first_peers = first_peers
         self._platform = platform
@@ -90,7 +101,7 @@
             key,
         )
         opener = wire.Opener(identity.fleet, identity.vm_id, key)
-        self._link = transport.Transport(
+        self._link = self._link_type(
             identity.ip, self._sealer, opener, self._observe_refusal
         )
         await self._link.bind(identity.port)
@@ -197,16 +208,19 @@
     ) -> None:
         sender_id = received.sender_id
         member = self.membership.table.members_by_id.get(sender_id)
-        rejected = [evidence_exchange.RejectionReason.PEER_NOT_LIVE]
+        not_live = evidence_exchange.RejectionReason.PEER_NOT_LIVE
+        taken = evidence_exchange.Taken((), (not_live,))
         if member is not None:
-            rejected = self._inbox.take(
+            taken = self._inbox.take(
                 member.entry,
                 member.state,
                 received.incarnation,
                 batch,
                 trio.current_time(),
             )
-        for reason in rejected:
+        for held in taken.held:
+            self._hooks.on_report(held.report, held.measured)
+        for reason in taken.rejected:
             self._hooks.observe(
                 observations.EvidenceRejected(sender_id, reason)
             )
--- a/packages/measure/src/primrosemill/measure/detection_runs.py
+++ b/packages/measure/src/primrosemill/measure/detection_runs.py
@@ -7,8 +7,8 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import detector
+from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import outcomes
-from primrosemill.decisions import peers
 from primrosemill.decisions import standings
 from primrosemill.measure import detection_rules
 from primrosemill.measure import detection_traces as traces
@@ -79,7 +79,7 @@
     def __init__(self, weight: float) -> None:
         service = service_with(weight)
         homes = [
-            peers.Home(f"vm-{number}", DOMAINS[number % 3])
+            home_vms.Vm(f"vm-{number}", DOMAINS[number % 3])
             for number in range(traces.VMS)
         ]
         self.detectors = [
@@ -110,7 +110,7 @@
     def exchange(self, now: float, running: list[int]) -> None:
         """Carry the reports between the VMs that run."""
         for vm in running:
-            report = self.detectors[vm].report(now)
+            report = self.detectors[vm].report()
             for other in running:
                 if other != vm:
                     self.detectors[other].heard(report, now)
