--- a/tests/builders/vms.py
+++ b/tests/builders/vms.py
@@ -72,8 +72,7 @@
         made = daemon.Daemon(
             settings,
             random.Random(number),
-            answer_lifetime=ANSWER_LIFETIME,
-            **self._options,
+            **({"answer_lifetime": ANSWER_LIFETIME} | self._options),
         )
         bound = await self._nursery.start(made.run)
         vm = RunningVm(settings.vm_id, settings.ip, made, bound)
