--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -71,6 +71,9 @@
         self.ends.append(end)
         self.ended.set()
 
+    def due_trial(self, service):
+        return None
+
     def reasons(self):
         return [
             getattr(end.outcome, "reason", "answered") for end in self.ends
