--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -16,17 +16,12 @@
 
 
 class Wish(typing.NamedTuple):
-    """A request that wants a slot before its deadline, in seconds.
-
-    ``preferred`` is an instance that the request should try, so that this VM
-    forms an opinion of it.
-    """
+    """A request that wants a slot before its deadline, in seconds."""
 
     caller: str
     deadline: float
     idempotent: bool = True
     excluded: frozenset[str] = frozenset()
-    preferred: str | None = None
 
 
 class Granted(typing.NamedTuple):
@@ -84,10 +79,6 @@
         )
         if now > wish.deadline:
             return self._queue.join(waiter, now, None)
-        if wish.preferred is not None:
-            instance = self.pool.acquire_at(now, wish.preferred)
-            if instance is not None:
-                return Granted(instance)
         if not self._queue:
             instance = self._acquire(waiter, now)
             if instance is not None:
--- a/packages/decisions/src/primrosemill/decisions/pool.py
+++ b/packages/decisions/src/primrosemill/decisions/pool.py
@@ -173,19 +173,7 @@
         picked = self._pick(may_spill, excluded, idempotent)
         if picked is None:
             return None
-        return self._take(self._uses_by_id[picked], now)
-
-    def acquire_at(
-        self, now: float, instance_id: str
-    ) -> documents.Instance | None:
-        """Take a slot of one instance, whatever its tier, if one is free."""
-        self._end_holds(now)
-        use = self._uses_by_id.get(instance_id)
-        if use is None or use.level is None:
-            return None
-        return self._take(use, now)
-
-    def _take(self, use: _Use, now: float) -> documents.Instance:
+        use = self._uses_by_id[picked]
         if use.tier in SPILL_TIERS:
             self._next_spill = now + self._spill_pause()
         return self._take(use, now)
--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -127,11 +127,6 @@
         if end.draining:
             self._see_draining(start, watch.detector)
 
-    def due_trial(self, service: str) -> str | None:
-        """Return the instance that an idempotent request should try now."""
-        watching = self._detectors_by_service.get(service)
-        return None if watching is None else watching.due_trial(_now())
-
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
         now = _now()
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -130,21 +130,8 @@
             outgoing.deadline,
             outgoing.idempotent,
             excluded,
-            self._due_trial(),
         )
 
-    def _due_trial(self) -> str | None:
-        """Return an instance that the first attempt should try, if any.
-
-        Only a request that may be hedged, should the instance be sick.
-        """
-        outgoing = self._context.outgoing
-        if self._attempts or not outgoing.idempotent:
-            return None
-        if not outgoing.body.absent:
-            return None
-        return self._context.observer.due_trial(self._context.service)
-
     def _decide(
         self, failure: Failure
     ) -> plugs.Decision | plugs.Refused | outcomes.Unknown:
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -73,10 +73,6 @@
         """Note how an attempt ended."""
         ...
 
-    def due_trial(self, service: str) -> str | None:
-        """Return the instance that an idempotent request should try now."""
-        ...
-
 
 class Action(enum.StrEnum):
     """What follows an attempt that brought no answer."""
@@ -154,10 +150,6 @@
     def attempt_ended(self, end: AttemptEnd) -> None:
         """Ignore the attempt."""
 
-    def due_trial(self, service: str) -> str | None:
-        """Return None."""
-        return None
-
 
 class RetryUntilDeadline:
     """Retries with a growing pause for as long as the deadline allows."""
--- a/tests/decisions/test_dispatch.py
+++ b/tests/decisions/test_dispatch.py
@@ -94,17 +94,6 @@
         granted = build(2).ask(asked, START)
         self.assertEqual("res-1", granted.instance.id)
 
-    def test_a_preferred_instance_is_tried_behind_any_rank(self):
-        built = build(3)
-        last = standings.Standing(standings.State.RANKED_LAST)
-        built.pool.set_standing("res-1", last)
-        granted = built.ask(wish(preferred="res-1"), START)
-        self.assertEqual("res-1", granted.instance.id)
-        ejected = standings.Standing(standings.State.EJECTED)
-        built.pool.set_standing("res-2", ejected)
-        granted = built.ask(wish(preferred="res-2"), START)
-        self.assertEqual("res-0", granted.instance.id)
-
     @SETTINGS
     @hypothesis.given(
         strategies.lists(
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -74,9 +74,6 @@
         self.ends.append(end)
         self.ended.set()
 
-    def due_trial(self, service):
-        return None
-
     def reasons(self):
         return [
             getattr(end.outcome, "reason", "answered") for end in self.ends
