Hedge with a timer, not with tasks

Every idempotent request opened a nursery with two tasks, one of which slept until the hedge was due and was cancelled nearly always. The first attempt now runs in the request's own task; the second is an entry in a heap until its time comes. A fault in a second attempt is raised in its own request.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -19,6 +19,7 @@
 from primrosemill.proxy import exchange
 from primrosemill.proxy import flights
 from primrosemill.proxy import headers
+from primrosemill.proxy import hedging
 from primrosemill.proxy import plugs
 from primrosemill.proxy import replay
 from primrosemill.proxy import reports
@@ -44,6 +45,7 @@
         self._dispatchers_by_service: dict[str, dispatch.Dispatcher] = {}
         self._queue_limit = queue_limit
         self._alarm = alarms.Alarm()
+        self._hedges = hedging.Hedges()
         self._reports = reports.Reports(self._counters)
         self.leaving = False
         self.closing = False
@@ -92,11 +94,13 @@
             dispatcher.wake()
         self._connections.close_expired()
 
-    async def wake_waiters(self) -> None:
-        """Grant slots at the time when some are free without a release."""
-        while True:
-            await self._alarm.wait()
-            self._wake()
+    async def keep_time(self) -> None:
+        """Act when a time comes: grant slots, start hedges."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hedges.run)
+            while True:
+                await self._alarm.wait()
+                self._wake()
 
     def note_failure(self, error: Exception) -> None:
         """Count and log a fault of the proxy that ended a request."""
@@ -187,6 +191,7 @@
             caller,
             self._plugs.retries,
             self._counters.count_retry,
+            self._hedges,
         )
         with trio.CancelScope(deadline=outgoing.deadline) as scope:
             caller.attach(scope)
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -32,7 +32,7 @@
 from primrosemill.proxy import stopping
 from primrosemill.telemetry import events
 
-HOUSEKEEPING_INTERVAL = 0.05  # seconds
+HOUSEKEEPING_INTERVAL = 0.25  # seconds
 HOMES_INTERVAL = 0.25  # seconds
 # Callers use an answered address for so long; a leaving VM serves them.
 ANSWER_LIFETIME = 30.0  # seconds
@@ -144,7 +144,7 @@
                 )
                 self._directory.set_caller_port(caller_port)
                 nursery.start_soon(self._keep_house)
-                nursery.start_soon(self._application.wake_waiters)
+                nursery.start_soon(self._application.keep_time)
                 nursery.start_soon(self._keep_homes)
                 nursery.start_soon(self._detection.run, self.peers.node)
                 collector.settle()
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -47,11 +47,13 @@
         caller: callers.Caller,
         retries: plugs.RetryPolicy,
         on_retry: OnRetry,
+        hedges: hedging.Hedges,
     ) -> None:
         self._context = context
         self._caller = caller
         self._retries = retries
         self._on_retry = on_retry
+        self._hedges = hedges
         self._attempts = 0
         self._flights: list[flights.Flight] = []
         self._flying = False
@@ -178,7 +180,8 @@
         if delay is None:
             await flight.run()
             return flight
-        chosen = await hedging.Race().run(flight, delay, self._launch_hedge)
+        race = hedging.Race(self._hedges)
+        chosen = await race.run(flight, delay, self._launch_hedge)
         for each in tuple(self._flights):
             if each is not chosen:
                 await self._land(each)
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -15,7 +15,8 @@
 # A caller may have a request on its way while its connection looks idle. In
 # a drain it gets so long to send one more, whose answer closes.
 DRAIN_IDLE_TIME = 2.0  # seconds
-SWEEP_INTERVAL = 0.25  # seconds
+SWEEP_INTERVAL = 1.0  # seconds
+DRAIN_SWEEP_INTERVAL = 0.25  # seconds
 BACKLOG = 1024  # connections
 ACCEPT_PAUSE = 0.1  # seconds, while the process has no file left
 UNLIMITED = 2**62
@@ -41,6 +42,7 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._accepting = trio.CancelScope()
         self._draining = False
+        self._drain_begins = trio.Event()
         self._drained = trio.Event()
 
     @property
@@ -72,6 +74,7 @@
         for a moment.
         """
         self._draining = True
+        self._drain_begins.set()
         await self._context.terminated.set()
         self._accepting.cancel()
         self._close_idle()
@@ -106,7 +109,10 @@
 
     async def _sweep(self) -> None:
         while self._connections or not self._draining:
-            await trio.sleep(SWEEP_INTERVAL)
+            with trio.move_on_after(SWEEP_INTERVAL):
+                await self._drain_begins.wait()
+            if self._draining:
+                await trio.sleep(DRAIN_SWEEP_INTERVAL)
             self._close_idle()
 
     def _close_idle(self) -> None:
--- a/tests/builders/path.py
+++ b/tests/builders/path.py
@@ -55,7 +55,7 @@
         routes=route_values(deadline),
     )
     made.set_document(configuration.assembled(service).document)
-    nursery.start_soon(made.wake_waiters)
+    nursery.start_soon(made.keep_time)
     serving = server.Server(made, on_failure)
     port = await nursery.start(serving.run, IP, 0)
     return Path(made, serving, port)
