--- /dev/null
+++ b/tests/proxy/test_callers_page.py
@@ -0,0 +1,38 @@
+import pathlib
+
+import testtools
+
+from primrosemill.decisions import outcomes
+from primrosemill.proxy import callers
+
+PAGE = pathlib.Path("docs/callers.md")
+
+
+def statuses_by_reason(outcome):
+    """Read the table of statuses: reason to status for one outcome."""
+    found = {}
+    for line in PAGE.read_text().splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if len(cells) != 3 or not cells[0].isdigit():
+            continue
+        words = [word.strip("` ") for word in cells[1].split(",")]
+        if words[0] == outcome:
+            found |= {reason: int(cells[0]) for reason in words[1:]}
+    return found
+
+
+class CallersPageTest(testtools.TestCase):
+    def test_the_page_names_each_refusal_and_its_status(self):
+        expected = {
+            reason.value: callers.STATUS_BY_REFUSAL.get(
+                reason, callers.STATUS_UNAVAILABLE
+            )
+            for reason in outcomes.RefusalReason
+        }
+        self.assertEqual(expected, statuses_by_reason("not-run"))
+
+    def test_the_page_names_each_unknown_reason(self):
+        self.assertEqual(
+            {reason.value for reason in outcomes.UnknownReason},
+            set(statuses_by_reason("unknown")),
+        )
