--- a/packages/fleet/src/primrosemill/fleet/members.py
+++ b/packages/fleet/src/primrosemill/fleet/members.py
@@ -66,10 +66,17 @@
             and known.listed_leaving
             and known.entry.incarnation == entry.incarnation
         )
+        if known is not None:
+            self._release_address(known.entry)
         self._keep(Member(entry, now, listed_leaving))
         self._replace_at_address(entry, now)
         return True
 
+    def _release_address(self, entry: messages.Entry) -> None:
+        address = (entry.ip, entry.port)
+        if self._ids_by_address.get(address) == entry.vm_id:
+            del self._ids_by_address[address]
+
     def _replace_at_address(self, entry: messages.Entry, now: float) -> None:
         """Hold a VM gone once a later one answers at its address."""
         address = (entry.ip, entry.port)
@@ -149,6 +156,4 @@
             if now - member.since < TOMBSTONE_AGE:
                 continue
             del self.members_by_id[vm_id]
-            address = (member.entry.ip, member.entry.port)
-            if self._ids_by_address.get(address) == vm_id:
-                del self._ids_by_address[address]
+            self._release_address(member.entry)
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -245,9 +245,16 @@
                 member.entry.ip, member.entry.port, batch.message
             )
 
+    def _forget_gone(self) -> None:
+        """Drop what VMs said that are gone; their ids may not come back."""
+        for entry in self.membership.table.gone_entries():
+            self._inbox.forget(entry.vm_id)
+            self.spread.forget(entry.vm_id)
+
     async def _join(self) -> None:
         """Learn the whole fleet from one peer, and again now and then."""
         while True:
+            self._forget_gone()
             present = list(self.membership.table.present_by_id.values())
             if not present:
                 await trio.sleep(JOIN_STEP)
--- a/tests/fleet/test_evidence_exchange.py
+++ b/tests/fleet/test_evidence_exchange.py
@@ -157,6 +157,12 @@
         found = self.take(50.0, 7.0, vm_id="vm-9")
         self.assertEqual((Reason.WRONG_REPORTER,), found)
 
+    def test_a_vm_that_is_forgotten_leaves_nothing(self):
+        self.take(50.0, 7.0)
+        self.inbox.forget("vm-1")
+        self.assertEqual([], self.reports(50.0))
+        self.assertEqual({}, self.inbox._clocks_by_vm)
+
     def test_an_overtaken_report_does_not_replace_a_newer_one(self):
         self.take(50.0, 7.0)
         newer = builders.report(healthy(0))
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -214,6 +214,23 @@
         self.view.merge([earlier], 2.0)
         self.assertIs(State.GONE, self.view.state_of("vm-old"))
 
+    def test_an_address_that_a_vm_has_left_is_free(self):
+        old = builders.entry(1)
+        moved = builders.entry(1, ip="10.9.9.9", counter=1)
+        self.view.merge([moved], 1.0)
+        table = self.view.table
+        self.assertFalse(table.is_present_at(old.ip, old.port))
+        self.assertTrue(table.is_present_at(moved.ip, moved.port))
+
+    def test_a_vm_gone_for_long_is_forgotten(self):
+        gone = builders.entry(1)._replace(liveness=messages.Liveness.GONE)
+        self.view.merge([gone], 0.0)
+        self.view.table.forget_old(members.TOMBSTONE_AGE - 1)
+        self.assertIn("vm-1", self.view.table.members_by_id)
+        self.view.table.forget_old(members.TOMBSTONE_AGE)
+        self.assertNotIn("vm-1", self.view.table.members_by_id)
+        self.assertFalse(self.view.table.is_present_at(gone.ip, gone.port))
+
 
 class DatagramTest(testtools.TestCase):
     def test_a_message_full_of_long_names_fits_a_datagram(self):
