--- a/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/evidence_exchange.py
@@ -1,20 +1,16 @@
-"""Decides what evidence to tell the other home VMs, and what to believe.
+"""Decides what evidence to tell the other home VMs of a service.
 
 Pure. Each message holds the whole report on a service, so a lost one costs
 a moment only. A report is sent when it has changed and now and then besides,
-within a byte budget; that an instance drains or is out goes at once. A report
-counts only while its sender is in the fleet under the same incarnation and
-its evidence is young by this VM's own clock.
+within a byte budget; that an instance drains or is out goes at once.
 """
 
-import enum
 import typing
 
 import msgspec
 
 from primrosemill.decisions import evidence
 from primrosemill.decisions import standings
-from primrosemill.fleet import members
 from primrosemill.fleet import messages
 
 SEND_INTERVAL = 0.25  # seconds between reports on a service to one VM
@@ -22,7 +18,6 @@
 # instance, so that a lost message costs no weight, and one that names none.
 REFRESH_INTERVAL = 1.0
 QUIET_INTERVAL = 2.0
-EVIDENCE_AGE = 3.0  # seconds for which a report has weight
 OUT_OF_ROTATION = frozenset({standings.State.AVOIDED, standings.State.EJECTED})
 SCORE_STEP = 0.5  # change of a score that is worth a message
 BYTE_RATE = 4_000.0  # bytes of messages a second that this VM may send
@@ -32,16 +27,6 @@
 REPORT_OVERHEAD = 12  # bytes of a report besides its names and instances
 
 
-class RejectionReason(enum.StrEnum):
-    """Why a report has no weight."""
-
-    PEER_NOT_LIVE = "peer_not_live"
-    OTHER_INCARNATION = "other_incarnation"
-    OLD_EVIDENCE = "old_evidence"
-    OVERTAKEN = "overtaken"
-    WRONG_REPORTER = "wrong_reporter"
-
-
 class Batch(typing.NamedTuple):
     """A batch and the VM that it goes to."""
 
@@ -49,21 +34,6 @@
     message: messages.EvidenceBatch
 
 
-class HeldReport(typing.NamedTuple):
-    """A report with when its evidence ended, by this VM's clock."""
-
-    report: evidence.Report
-    incarnation: int
-    measured: float
-
-
-class Taken(typing.NamedTuple):
-    """What became of a batch."""
-
-    held: tuple[HeldReport, ...]
-    rejected: tuple[RejectionReason, ...]
-
-
 class _Target(typing.NamedTuple):
     vm_id: str
     service: str
@@ -222,104 +192,3 @@
         kept.append(each)
     kept.sort(key=lambda each: each.instance_id)
     return report._replace(instances=tuple(kept))
-
-
-class _SenderClock(typing.NamedTuple):
-    incarnation: int
-    offset: float  # The least seen of receive time minus send time, seconds.
-
-
-class Inbox:
-    """Holds the latest report of each other home VM on each service."""
-
-    def __init__(self) -> None:
-        self._clocks_by_vm: dict[str, _SenderClock] = {}
-        self._held_by_target: dict[_Target, HeldReport] = {}
-
-    def take(
-        self,
-        sender: messages.Entry,
-        state: members.State,
-        incarnation: int,
-        batch: messages.EvidenceBatch,
-        now: float,
-    ) -> Taken:
-        """Take a batch; ``incarnation`` is the one that sealed it.
-
-        ``sender`` is the sender's entry in this VM's table.
-        """
-        if state is members.State.GONE:
-            return Taken((), (RejectionReason.PEER_NOT_LIVE,))
-        if incarnation != sender.incarnation:
-            return Taken((), (RejectionReason.OTHER_INCARNATION,))
-        offset = self._offset(sender, batch.stamp, now)
-        held = []
-        rejected = []
-        for stamped in batch.reports:
-            measured = min(now, stamped.stamp / 1_000 + offset)
-            report = HeldReport(stamped.report, incarnation, measured)
-            reason = self._judge(sender, report, now)
-            if reason is not None:
-                rejected.append(reason)
-                continue
-            target = _Target(sender.vm_id, stamped.report.service)
-            self._held_by_target[target] = report
-            held.append(report)
-        return Taken(tuple(held), tuple(rejected))
-
-    def _offset(self, sender: messages.Entry, stamp: int, now: float) -> float:
-        """Return the receive minus the send time of the fastest message.
-
-        Neither clock need be right: what a message was late by is seen
-        against the fastest message of the same process.
-        """
-        offset = now - stamp / 1_000
-        known = self._clocks_by_vm.get(sender.vm_id)
-        if known is not None and known.incarnation == sender.incarnation:
-            offset = min(offset, known.offset)
-        self._clocks_by_vm[sender.vm_id] = _SenderClock(
-            sender.incarnation, offset
-        )
-        return offset
-
-    def _judge(
-        self, sender: messages.Entry, held: HeldReport, now: float
-    ) -> RejectionReason | None:
-        report = held.report
-        if (report.vm_id, report.domain) != (sender.vm_id, sender.domain):
-            return RejectionReason.WRONG_REPORTER
-        if now - held.measured >= EVIDENCE_AGE:
-            return RejectionReason.OLD_EVIDENCE
-        before = self._held_by_target.get(
-            _Target(sender.vm_id, report.service)
-        )
-        if before is None or before.incarnation != held.incarnation:
-            return None
-        if held.measured < before.measured:
-            return RejectionReason.OVERTAKEN
-        return None
-
-    def forget(self, vm_id: str) -> None:
-        """Drop all that a VM said which has gone."""
-        self._clocks_by_vm.pop(vm_id, None)
-        for target in list(self._held_by_target):
-            if target.vm_id == vm_id:
-                del self._held_by_target[target]
-
-    def reports(
-        self,
-        service: str,
-        state_of: typing.Callable[[str], members.State],
-        now: float,
-    ) -> list[evidence.Report]:
-        """Return the reports on a service that have weight now."""
-        found = []
-        for target, held in sorted(self._held_by_target.items()):
-            if target.service != service:
-                continue
-            if now - held.measured >= EVIDENCE_AGE:
-                continue
-            if state_of(target.vm_id) is members.State.GONE:
-                continue
-            found.append(held.report)
-        return found
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -8,6 +8,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import evidence
 from primrosemill.fleet import evidence_exchange
+from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import follower
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
@@ -82,7 +83,7 @@
         self._platform = platform
         self._hooks = hooks
         self._generator = generator
-        self._inbox = evidence_exchange.Inbox()
+        self._inbox = evidence_inbox.Inbox()
         self._outbox: evidence_exchange.Outbox | None = None
         self.membership: membership.Membership | None = None
         self.spread: spread.Spread | None = None
@@ -208,8 +209,8 @@
     ) -> None:
         sender_id = received.sender_id
         member = self.membership.table.members_by_id.get(sender_id)
-        not_live = evidence_exchange.RejectionReason.PEER_NOT_LIVE
-        taken = evidence_exchange.Taken((), (not_live,))
+        not_live = evidence_inbox.RejectionReason.PEER_NOT_LIVE
+        taken = evidence_inbox.Taken((), (not_live,))
         if member is not None:
             taken = self._inbox.take(
                 member.entry,
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -3,7 +3,7 @@
 import typing
 
 from primrosemill.configuration import faults
-from primrosemill.fleet import evidence_exchange
+from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import spread
 from primrosemill.fleet import wire
 from primrosemill.platform import interfaces
@@ -19,7 +19,7 @@
     """A report of a peer was given no weight."""
 
     vm_id: str
-    reason: evidence_exchange.RejectionReason
+    reason: evidence_inbox.RejectionReason
 
 
 class VersionAccepted(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/peer_counters.py
+++ b/packages/proxy/src/primrosemill/proxy/peer_counters.py
@@ -4,7 +4,7 @@
 
 import prometheus_client
 
-from primrosemill.fleet import evidence_exchange
+from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import observations
 from primrosemill.fleet import wire
 from primrosemill.telemetry import metrics
@@ -25,7 +25,7 @@
             "evidence_rejected",
             "Reports of other VMs that were given no weight, by reason.",
             "reason",
-            evidence_exchange.RejectionReason,
+            evidence_inbox.RejectionReason,
             registry,
         )
         self.conflicts = metrics.counter(
--- a/tests/fleet/test_evidence_exchange.py
+++ b/tests/fleet/test_evidence_exchange.py
@@ -2,13 +2,14 @@
 
 from primrosemill.decisions import standings
 from primrosemill.fleet import evidence_exchange as exchanges
+from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 from primrosemill.fleet import wire
 from tests.builders import fleet as builders
 
 HOMES = {"reservations": ["vm-2"]}
-Reason = exchanges.RejectionReason
+Reason = evidence_inbox.RejectionReason
 LIVE = members.State.LIVE
 
 
@@ -113,7 +114,7 @@
 class InboxTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.inbox = exchanges.Inbox()
+        self.inbox = evidence_inbox.Inbox()
         self.sender = builders.entry(1)
 
     def take(self, now, sent, measured=None, **changes):
@@ -131,7 +132,7 @@
     def test_a_report_has_weight_for_a_while(self):
         self.assertEqual((), self.take(50.0, 7.0))
         self.assertEqual([builders.report()], self.reports(52.0))
-        self.assertEqual([], self.reports(50.0 + exchanges.EVIDENCE_AGE))
+        self.assertEqual([], self.reports(50.0 + evidence_inbox.EVIDENCE_AGE))
 
     def test_what_a_paused_peer_measured_before_has_no_weight(self):
         self.take(50.0, 7.0)
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import testtools
 
 from primrosemill.fleet import messages
@@ -109,6 +110,34 @@
         sealed[place] ^= data.draw(strategies.integers(1, 255))
         self.assertTrue(builders.opener().open(bytes(sealed)).is_error())
 
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(
+        strategies.sampled_from(messages.Kind),
+        strategies.recursive(
+            strategies.none()
+            | strategies.integers(-(2**63), 2**64 - 1)
+            | strategies.text(max_size=8)
+            | strategies.binary(max_size=8),
+            lambda inner: strategies.lists(inner, max_size=7),
+            max_leaves=20,
+        ),
+    )
+    def test_an_authentic_message_of_any_form_is_typed_or_refused(
+        self, kind, payload
+    ):
+        envelope = [builders.FLEET, "vm-1", 1, 1, kind, payload]
+        body = msgspec.msgpack.encode(envelope)
+        key = wire.derive_key(builders.SECRET)
+        data = b"\x01" + wire._tag(key, b"\x01" + body) + body
+        result = builders.opener().open(data)
+        if result.is_ok():
+            form = type(result.ok.message)
+            self.assertEqual(kind, messages.KINDS_BY_TYPE[form])
+        else:
+            self.assertIn(
+                result.error, (Reason.MALFORMED, Reason.WRONG_SENDER)
+            )
+
     def test_every_message_form_has_a_kind(self):
         kinds = set(messages.KINDS_BY_TYPE.values())
         self.assertEqual(set(messages.Kind), kinds)
