--- a/tests/fleet/test_evidence_exchange.py
+++ b/tests/fleet/test_evidence_exchange.py
@@ -2,13 +2,14 @@
 
 from primrosemill.decisions import standings
 from primrosemill.fleet import evidence_exchange as exchanges
+from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 from primrosemill.fleet import wire
 from tests.builders import fleet as builders
 
 HOMES = {"reservations": ["vm-2"]}
-Reason = exchanges.RejectionReason
+Reason = evidence_inbox.RejectionReason
 LIVE = members.State.LIVE
 
 
@@ -113,7 +114,7 @@
 class InboxTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
-        self.inbox = exchanges.Inbox()
+        self.inbox = evidence_inbox.Inbox()
         self.sender = builders.entry(1)
 
     def take(self, now, sent, measured=None, **changes):
@@ -131,7 +132,7 @@
     def test_a_report_has_weight_for_a_while(self):
         self.assertEqual((), self.take(50.0, 7.0))
         self.assertEqual([builders.report()], self.reports(52.0))
-        self.assertEqual([], self.reports(50.0 + exchanges.EVIDENCE_AGE))
+        self.assertEqual([], self.reports(50.0 + evidence_inbox.EVIDENCE_AGE))
 
     def test_what_a_paused_peer_measured_before_has_no_weight(self):
         self.take(50.0, 7.0)
@@ -157,6 +158,12 @@
         found = self.take(50.0, 7.0, vm_id="vm-9")
         self.assertEqual((Reason.WRONG_REPORTER,), found)
 
+    def test_a_vm_that_is_forgotten_leaves_nothing(self):
+        self.take(50.0, 7.0)
+        self.inbox.forget("vm-1")
+        self.assertEqual([], self.reports(50.0))
+        self.assertEqual({}, self.inbox._clocks_by_vm)
+
     def test_an_overtaken_report_does_not_replace_a_newer_one(self):
         self.take(50.0, 7.0)
         newer = builders.report(healthy(0))
