Wait for the homes in tests of whole VMs; keep a stand-in up

The builder of whole VMs returned when the members were known, before the homes followed, so a test of the address answer failed now and then. A stand-in's server ended with one broken connection, when hypercorn answered while an earlier answer was still being written; now only the connection ends.

--- a/packages/standins/src/primrosemill/standins/asgi.py
+++ b/packages/standins/src/primrosemill/standins/asgi.py
@@ -80,14 +80,20 @@
         await self._handler(scope, receive, send)
 
     async def serve_connection(self, stream: trio.SocketStream) -> None:
-        """Serve one connection until it closes."""
-        await hypercorn.trio.tcp_server.TCPServer(
+        """Serve one connection until it closes or breaks."""
+        connection = hypercorn.trio.tcp_server.TCPServer(
             self._application,
             self._config,
             self._context,
             {CONNECTION_KEY: Connection(stream)},
             stream,
-        ).run()
+        )
+        try:
+            await connection.run()
+        except* trio.BusyResourceError:
+            # hypercorn answered a broken request while the answer before it
+            # was still being written; the other connections go on.
+            await trio.aclose_forcefully(stream)
 
 
 async def serve(
--- a/tests/builders/vms.py
+++ b/tests/builders/vms.py
@@ -80,14 +80,22 @@
         return vm
 
     async def start_all(self, count: int) -> list[RunningVm]:
-        """Start several VMs and wait until all of them know each other."""
+        """Start several VMs and wait until all agree on the homes."""
         vms = [await self.start(number) for number in range(count)]
         for vm in vms:
             while len(vm.daemon.read_status()["members"]) < count - 1:
                 await trio.sleep(0.02)
+        while len(set(map(_homes, vms))) > 1 or not _homes(vms[0]):
+            await trio.sleep(0.02)
         return vms
 
 
+def _homes(vm: RunningVm) -> tuple[str, ...]:
+    """Return the home VMs that a VM knows, by service."""
+    services = vm.daemon.read_status()["services"]
+    return tuple(home for each in services for home in each["homes"])
+
+
 async def get(address: str, target: str, **headers: str) -> httpcore.Response:
     """Send one request on a connection of its own."""
     async with httpcore.AsyncConnectionPool() as pool:
