--- a/packages/measure/src/primrosemill/measure/detection.py
+++ b/packages/measure/src/primrosemill/measure/detection.py
@@ -9,6 +9,7 @@
 import typing
 
 import click
+from matplotlib import pyplot
 import numpy
 
 from primrosemill.measure import detection_faults as faults
@@ -22,7 +23,6 @@
     "Atlas, weight 0.9": ATLAS_WEIGHT,
 }
 CURVE_WEIGHTS = (0.0, 0.2, 0.4, 0.6, 0.8, 0.9, 1.0)
-CURVE_HOURS = 40.0
 
 
 class Point(typing.NamedTuple):
@@ -132,8 +132,11 @@
 @main.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--episodes", default=50, show_default=True)
+@click.option("--hours", default=40.0, show_default=True)
 @click.option("--plot", type=click.Path(path_type=pathlib.Path), default=None)
-def curve(seed: int, episodes: int, plot: pathlib.Path | None) -> None:
+def curve(
+    seed: int, episodes: int, hours: float, plot: pathlib.Path | None
+) -> None:
     """Trace detection time against mistakes over the weights."""
     points = []
     click.echo(
@@ -142,7 +145,7 @@
     )
     click.echo("| --- | --- | --- | --- |")
     for weight in CURVE_WEIGHTS:
-        point = _measure_point(weight, seed, episodes)
+        point = _measure_point(weight, seed, episodes, hours)
         points.append(point)
         click.echo(
             f"| {weight} | {point.stall:.2f} s | {point.half_speed:.2f} s "
@@ -152,7 +155,9 @@
         _draw(points, plot)
 
 
-def _measure_point(weight: float, seed: int, episodes: int) -> Point:
+def _measure_point(
+    weight: float, seed: int, episodes: int, hours: float
+) -> Point:
     slowest = []
     for name in ("stall", "half speed"):
         times = [
@@ -162,7 +167,7 @@
         slowest.append(_percentile(times, 99))
     total = figures.Mistakes(0, 0, 0.0)
     for name in faults.TROUBLES:
-        total = _add(total, _count(name, weight, seed, CURVE_HOURS))
+        total = _add(total, _count(name, weight, seed, hours))
     scale = 1000.0 / total.hours
     return Point(
         weight,
@@ -216,12 +221,6 @@
 
 
 def _draw(points: list[Point], path: pathlib.Path) -> None:
-    """Draw the curve; the library loads only when it is asked for."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
     figure, axes = pyplot.subplots(figsize=(6.4, 4.0))
     removals = [point.ejections + point.avoidances for point in points]
     axes.plot([point.stall for point in points], removals, "o-", label="stall")
@@ -245,3 +244,4 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path, dpi=110)
+    pyplot.close(figure)
