--- a/packages/decisions/src/primrosemill/decisions/thresholds.py
+++ b/packages/decisions/src/primrosemill/decisions/thresholds.py
@@ -8,7 +8,7 @@
 EJECT_AT_WEIGHT_0 = 24.0
 EJECT_AT_WEIGHT_1 = 5.0
 SUPPORT_SHARE = 0.5
-LEAST_SUPPORT = 4.0  # Chance alone brings less to a second VM.
+LEAST_SUPPORT = 5.0  # One error and a slow answer come by chance.
 CLEAR_SHARE = 0.25
 
 
