--- a/packages/measure/src/primrosemill/measure/demo_report.py
+++ b/packages/measure/src/primrosemill/measure/demo_report.py
@@ -63,13 +63,15 @@
     ends = [phase.started for phase in phases[1:]] + [float("inf")]
     for phase, end in zip(phases, ends, strict=True):
         inside = [each for each in met if phase.started <= each.started < end]
+        if not inside:
+            continue
         counts = collections.Counter(_ending(each.call) for each in inside)
         told = ", ".join(
             f"{count} {name}" for name, count in counts.most_common()
         )
         median, high = percentiles(inside)
         lines.append(
-            f"  {phase.name:<22} {len(inside):5d} requests: {told or 'none'}; "
+            f"  {phase.name:<22} {len(inside):5d} requests: {told}; "
             f"50 % in {median:.1f} ms, 99 % in {high:.1f} ms"
         )
     return lines
