--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -35,7 +35,7 @@
 HOUSEKEEPING_INTERVAL = 0.25  # seconds
 HOMES_INTERVAL = 0.25  # seconds
 # Callers use an answered address for so long; a leaving VM serves them.
-ANSWER_LIFETIME = 30.0  # seconds
+ANSWER_LIFETIME = decided_addresses.LIFETIME
 TIME_OVER = "time over"
 
 
