--- a/packages/decisions/src/primrosemill/decisions/ramp.py
+++ b/packages/decisions/src/primrosemill/decisions/ramp.py
@@ -62,6 +62,11 @@
         elapsed = max(0.0, now - started)
         return max(LEAST_SHARE, elapsed / self._cold_start)
 
+    @property
+    def any_cold(self) -> bool:
+        """Tell whether :meth:`cold` may have something to return."""
+        return bool(self._started_by_id)
+
     def cold(self, now: float) -> dict[str, float]:
         """Return the shares below 1 by instance.
 
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -95,6 +95,8 @@
 
     def ramp_up(self) -> None:
         """Let the shares of cold instances grow; call it now and then."""
+        if not self._cold_ids and not self._ramp.any_cold:
+            return
         cold_ids = set(self._ramp.cold(trio.current_time()))
         for instance_id in cold_ids | self._cold_ids:
             self._apply(instance_id)
--- a/tests/decisions/test_ramp.py
+++ b/tests/decisions/test_ramp.py
@@ -24,7 +24,9 @@
         self.ramp.set_service(builders.service(5, revision=2), 100.0)
         self.assertEqual({"res-4": ramp.LEAST_SHARE}, self.ramp.cold(100.0))
         self.assertAlmostEqual(0.5, self.ramp.share("res-4", 105.0))
+        self.assertTrue(self.ramp.any_cold)
         self.assertEqual({}, self.ramp.cold(110.0))
+        self.assertFalse(self.ramp.any_cold)
 
     def test_a_replaced_address_ramps_up(self):
         moved = builders.instance(0, port=9999)
