--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -152,22 +152,27 @@
         self, entries: typing.Iterable[messages.Entry], now: float
     ) -> None:
         """Take entries from a message and pass on those that are news."""
-        for entry in entries:
-            if entry.vm_id == self.own.vm_id:
-                self._defend(entry)
-                continue
-            if self.table.merge(entry, now):
-                self._changes.add(entry)
+        for entry in self._take_news(entries, now):
+            self._changes.add(entry)
 
     def merge_table(
         self, entries: typing.Iterable[messages.Entry], now: float
     ) -> None:
         """Take another VM's table, which the fleet knows already."""
+        self._take_news(entries, now)
+
+    def _take_news(
+        self, entries: typing.Iterable[messages.Entry], now: float
+    ) -> list[messages.Entry]:
+        """Keep the entries that are newer than what is known."""
+        news = []
         for entry in entries:
             if entry.vm_id == self.own.vm_id:
                 self._defend(entry)
                 continue
-            self.table.merge(entry, now)
+            if self.table.merge(entry, now):
+                news.append(entry)
+        return news
 
     def tick(self, now: float) -> list[Outgoing]:
         """Send the probes that are due and judge those without answer."""
