Drop what nothing uses; tell readiness without the whole status

Read-through. The readiness endpoint described every instance of every service to tell one word; it now asks for that word. That the VM leaves was kept in two places, and the rule for what a hedge may take stood three times; each stands once. What a caller was told becomes a call of a history in one builder. Gone because nothing called it: the plain source of standings (the one test that built on it says what it needs), the lifespan server, a question of the assignments, three constants.

--- a/packages/decisions/src/primrosemill/decisions/detector.py
+++ b/packages/decisions/src/primrosemill/decisions/detector.py
@@ -25,7 +25,6 @@
 OPINION_INTERVAL = 0.125  # seconds between two requests for an opinion
 FIRST_COLD_SHARE = 0.2
 COLD_STEPS = 5
-UNREMARKABLE = frozenset({standings.State.IN_ROTATION, standings.State.COLD})
 
 
 class Detector:
--- a/packages/decisions/src/primrosemill/decisions/hedging.py
+++ b/packages/decisions/src/primrosemill/decisions/hedging.py
@@ -16,6 +16,11 @@
 RESERVED = 5.0  # attempts
 
 
+def affordable(budget: retry_budget.RetryBudget) -> bool:
+    """Tell whether the budget has a hedge to spare beside retries."""
+    return budget.left >= 1.0 + RESERVED
+
+
 class Hedging:
     """Learns when the answers of one service are late."""
 
@@ -59,6 +64,6 @@
         """Take a hedge out of the budget, or return False."""
         if not request.idempotent or request.passed_on:
             return False
-        if now >= request.deadline or budget.left < 1.0 + RESERVED:
+        if now >= request.deadline or not affordable(budget):
             return False
         return budget.spend()
--- a/packages/fleet/src/primrosemill/fleet/spread.py
+++ b/packages/fleet/src/primrosemill/fleet/spread.py
@@ -21,7 +21,6 @@
 PEER_WAIT = 2.0  # seconds that a start waits for a peer's version
 CATCH_UP_WAIT = 10.0  # seconds that a start waits for a pull to succeed
 PULL_PAUSE = 1.0  # seconds before a peer that failed is asked again
-DIGEST_BYTES = 16
 HEARD_LIMIT = 4_096  # VMs
 
 
--- a/packages/proofs/src/primrosemill/proofs/configuration_versions.py
+++ b/packages/proofs/src/primrosemill/proofs/configuration_versions.py
@@ -20,7 +20,6 @@
 
 FLEET = "proof"
 LAST_VERSION = 3
-STATE_LIMIT = 1_000_000
 
 
 class Content(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/admin.py
+++ b/packages/proxy/src/primrosemill/proxy/admin.py
@@ -30,9 +30,11 @@
 
     def __init__(
         self,
+        read_state: typing.Callable[[], status.VmState],
         read_status: typing.Callable[[], status.Status],
         registry: prometheus_client.CollectorRegistry,
     ) -> None:
+        self._read_state = read_state
         self._read_status = read_status
         self._registry = registry
         self._answers_by_path = {
@@ -56,8 +58,8 @@
         await asgi.respond(send, STATUS_OK, TEXT, b"ok\n")
 
     async def _answer_ready(self, send: asgi.Send) -> None:
-        state = self._read_status()["state"]
-        ready = state == status.VmState.SERVING
+        state = self._read_state()
+        ready = state is status.VmState.SERVING
         code = STATUS_OK if ready else STATUS_NOT_READY
         await asgi.respond(send, code, TEXT, f"{state}\n".encode())
 
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -47,7 +47,6 @@
         self._alarm = alarms.Alarm()
         self._hedges = hedging.Hedges()
         self._reports = reports.Reports(self._counters)
-        self.leaving = False
         self.closing = False
         self.in_flight = 0
 
--- a/packages/proxy/src/primrosemill/proxy/asgi.py
+++ b/packages/proxy/src/primrosemill/proxy/asgi.py
@@ -36,12 +36,3 @@
     length = (b"content-length", str(len(body)).encode())
     await send(start_message(status, [length, *headers]))
     await send(body_message(body, False))
-
-
-async def serve_lifespan(receive: Receive, send: Send) -> None:
-    """Answer the server's lifespan protocol until the server stops."""
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/packages/proxy/src/primrosemill/proxy/assignments.py
+++ b/packages/proxy/src/primrosemill/proxy/assignments.py
@@ -53,10 +53,6 @@
         """Return the homes of a service, none when it is unknown."""
         return self._table.homes(service)
 
-    def is_home(self, service: str) -> bool:
-        """Tell whether this VM is home to a service."""
-        return self.own in self._table.homes(service)
-
     def set_document(self, document: documents.Document) -> None:
         """Take a new version; only services that it changes are told of."""
         before_by_name = self._services_by_name
--- a/packages/proxy/src/primrosemill/proxy/budgets.py
+++ b/packages/proxy/src/primrosemill/proxy/budgets.py
@@ -45,14 +45,14 @@
     def hedge_delay(self, service: str, now: float) -> float | None:
         """Return after how long a second attempt may start, or None."""
         budget = self._budget(service)
-        if budget.left < 1.0 + hedging.RESERVED:
+        if not hedging.affordable(budget):
             return None
         return self._hedging(service).usual_delay
 
     def hedge_started(self, service: str) -> bool:
         """Take a hedge out of the budget; False forbids it."""
         budget = self._budget(service)
-        return budget.left >= 1.0 + hedging.RESERVED and budget.spend()
+        return hedging.affordable(budget) and budget.spend()
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         return self._budgets_by_service.setdefault(
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -77,17 +77,11 @@
             self._answer_caller, self._application.note_failure
         )
         self._admin = server.Server(
-            admin.Admin(self.read_status, counts.registry)
+            admin.Admin(self._state, self.read_status, counts.registry)
         )
-        platform = node.Platform(
-            store or over_http.HttpStore(settings.platform_address),
-            over_http.HttpVmList(settings.platform_address),
-        )
-        if store is not None:
-            platform = node.Platform(store)
         self.peers = peers.Peers(
             settings,
-            platform,
+            _platform(settings, store),
             self._set_document,
             counts.peers,
             generator,
@@ -151,7 +145,6 @@
         What is still in flight after the time that the settings allow is
         cut off.
         """
-        self._application.leaving = True
         self._directory.set_leaving()
         events.emit(
             events.VM_LEAVING,
@@ -207,7 +200,7 @@
         )
 
     def _state(self) -> status.VmState:
-        if self._application.leaving:
+        if self._directory.leaving:
             return status.VmState.LEAVING
         if self.peers.first.is_set():
             return status.VmState.SERVING
@@ -272,3 +265,15 @@
             await self._address_point(scope, receive, send)
         else:
             await self._application(scope, receive, send)
+
+
+def _platform(
+    settings: proxy_settings.Settings, store: interfaces.Store | None
+) -> node.Platform:
+    """Return what is read; a store that is given comes without a VM list."""
+    if store is not None:
+        return node.Platform(store)
+    return node.Platform(
+        over_http.HttpStore(settings.platform_address),
+        over_http.HttpVmList(settings.platform_address),
+    )
--- a/packages/proxy/src/primrosemill/proxy/directory.py
+++ b/packages/proxy/src/primrosemill/proxy/directory.py
@@ -30,6 +30,11 @@
         self._lifetime = lifetime
         self._caller_port = 0
 
+    @property
+    def leaving(self) -> bool:
+        """Tell whether this VM was asked to stop."""
+        return self.own.leaving
+
     def set_caller_port(self, port: int) -> None:
         """Take the port that callers reach, once it is bound."""
         self._caller_port = port
@@ -42,7 +47,7 @@
 
     def vms(self) -> list[homes.Vm]:
         """Return the VMs that may be homes."""
-        found = [] if self.own.leaving else [self.own.vm]
+        found = [] if self.leaving else [self.own.vm]
         for member in self._fleet.present():
             if member.state not in NOT_HOMES:
                 entry = member.entry
--- a/packages/proxy/src/primrosemill/proxy/status.py
+++ b/packages/proxy/src/primrosemill/proxy/status.py
@@ -81,18 +81,6 @@
         ...
 
 
-class NoSources:
-    """Thinks well of every instance."""
-
-    def standing(
-        self, service: str, instance: documents.Instance
-    ) -> standings.Standing:
-        """Return the standing that the document gives."""
-        if instance.leaving:
-            return standings.Standing(standings.State.DRAINING)
-        return standings.HEALTHY
-
-
 def describe_service(
     service: documents.Service,
     waiting: int,
--- a/tests/builders/chaos.py
+++ b/tests/builders/chaos.py
@@ -129,10 +129,4 @@
         )
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return call._replace(broken=True)
-    size = call.size if response.status == 200 else len(response.content)
-    return call._replace(
-        outcome=builders.header(response, "x-outcome") or "",
-        status=response.status,
-        body=response.content,
-        size=size,
-    )
+    return builders.told(call, response)
--- a/tests/builders/path.py
+++ b/tests/builders/path.py
@@ -6,6 +6,7 @@
 import httpcore
 import trio
 
+from primrosemill.proofs import history
 from primrosemill.proxy import application
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
@@ -98,6 +99,17 @@
     return None
 
 
+def told(call: history.Call, response: httpcore.Response) -> history.Call:
+    """Add what a caller was told to its call of a history."""
+    size = call.size if response.status == 200 else len(response.content)
+    return call._replace(
+        outcome=header(response, "x-outcome") or "",
+        status=response.status,
+        body=response.content,
+        size=size,
+    )
+
+
 class RawInstance:
     """Speaks scripted bytes as an instance does; counts requests read.
 
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -10,12 +10,12 @@
 CLOSED_ADDRESS = "127.0.0.1:1"
 
 
-class OneSuspect(status.NoSources):
-    """Knows a peer and thinks badly of one instance."""
+class OneSuspect:
+    """Thinks badly of one instance and well of the others."""
 
     def standing(self, service, instance):
         if instance.id != "res-1":
-            return super().standing(service, instance)
+            return standings.HEALTHY
         return standings.Standing(
             standings.State.EJECTED, 7.25, "stalled on three VMs", 0.0
         )
