--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 UV_VERSION := 0.13.9
 # What the binary holds; the other packages are for developers and operators.
 SHIPPED := $(addprefix packages/,cli configuration decisions fleet platform \
-	proxy telemetry)
+	proxy published telemetry)
 SHIPPED_SOURCES := $(shell find $(SHIPPED) -name '*.py') \
 	$(addsuffix /pyproject.toml,$(SHIPPED))
 SITE := build/site
--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -17,7 +17,7 @@
 from primrosemill.fleet import spread
 from primrosemill.fleet import store_watch
 from primrosemill.fleet import transport
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 
 WATCH_WAIT = 10.0  # seconds
 STEP = 0.1  # seconds between looks whether a start may serve
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -18,7 +18,7 @@
 from primrosemill.fleet import store_watch
 from primrosemill.fleet import transport
 from primrosemill.fleet import wire
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 
 TICK = 0.1  # seconds
 TABLE_INTERVAL = 60.0  # seconds between pulls of a peer's table of members
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -6,7 +6,7 @@
 from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import spread
 from primrosemill.fleet import wire
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 
 
 class MessageRefused(typing.NamedTuple):
--- a/packages/measure/src/primrosemill/measure/binary.py
+++ b/packages/measure/src/primrosemill/measure/binary.py
@@ -21,8 +21,6 @@
 
 SITE = pathlib.Path("build/site")
 ENTRY_POINT = "primrosemill.cli.main:main"
-# Packs and runs where a folder in memory takes the place of the disk.
-MEMORY_FOLDER = pathlib.Path("/dev/shm")
 ROOT_VARIABLES = ("SHIV_ROOT", "PEX_ROOT", "LAUNCHER_ROOT")
 MEGABYTE = 1_000_000
 LAUNCHER = """\
@@ -160,17 +158,23 @@
 
 @click.command()
 @click.option("--rounds", default=5, show_default=True)
-def main(rounds: int) -> None:
+@click.option(
+    "--folder",
+    type=click.Path(exists=True, file_okay=False),
+    help="Where to pack and run; the system's temporary folder by default. "
+    "A folder in memory leaves the disk out of the figures.",
+)
+def main(rounds: int, folder: str | None) -> None:
     """Measure ways to ship one binary; run 'make binary' first."""
     if not SITE.is_dir():
         raise click.UsageError(f"{SITE} is not there; run 'make binary'")
-    with tempfile.TemporaryDirectory(dir=MEMORY_FOLDER) as name:
-        folder = pathlib.Path(name)
-        site = folder / "site"
+    with tempfile.TemporaryDirectory(dir=folder) as name:
+        work = pathlib.Path(name)
+        site = work / "site"
         shutil.copytree(SITE, site)
         click.echo(f"{'way':24}  packed  unpacked  first start  later start")
-        for way in build_ways(site, folder):
-            figures = measure(way, folder / "root", rounds)
+        for way in build_ways(site, work):
+            figures = measure(way, work / "root", rounds)
             click.echo(
                 f"{way.name:24} "
                 f"{figures.packed_size / MEGABYTE:4.1f} MB "
--- a/packages/measure/src/primrosemill/measure/spread_store.py
+++ b/packages/measure/src/primrosemill/measure/spread_store.py
@@ -7,7 +7,7 @@
 import trio
 
 from primrosemill.configuration import values
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 
 FLEET = "measured"
 
--- a/packages/platform/src/primrosemill/platform/__init__.py
+++ b/packages/platform/src/primrosemill/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reads the configuration service and the VM list."""
+"""Translates between the platform of the users and the product."""
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -11,8 +11,8 @@
 from primrosemill.decisions import homes
 from primrosemill.decisions import standings
 from primrosemill.fleet import node
-from primrosemill.platform import interfaces
-from primrosemill.platform import over_http
+from primrosemill.fleet import interfaces
+from primrosemill.published import over_http
 from primrosemill.proxy import addresses
 from primrosemill.proxy import admin
 from primrosemill.proxy import admission
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -13,7 +13,7 @@
 from primrosemill.fleet import membership
 from primrosemill.fleet import node
 from primrosemill.fleet import observations
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 from primrosemill.proxy import peer_counters
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import status
--- /dev/null
+++ b/packages/published/src/primrosemill/published/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the configuration service and the VM list."""
--- a/packages/platform/src/primrosemill/platform/bounded.py
+++ b/packages/published/src/primrosemill/published/bounded.py
@@ -7,7 +7,7 @@
 import httpcore
 import trio
 
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 
 MOST_CONNECTIONS = 4
 
--- a/packages/platform/src/primrosemill/platform/over_http.py
+++ b/packages/published/src/primrosemill/published/over_http.py
@@ -1,4 +1,4 @@
-"""Reads the platform over plain HTTP and JSON; see docs/platform.md."""
+"""Reads the platform over plain HTTP and JSON; see docs/published.md."""
 
 import ipaddress
 import typing
@@ -7,8 +7,8 @@
 import expression
 import msgspec
 
-from primrosemill.platform import bounded
-from primrosemill.platform import interfaces
+from primrosemill.published import bounded
+from primrosemill.fleet import interfaces
 
 READ_TIMEOUT = 2.0  # seconds for a whole answer
 WATCH_MARGIN = 2.0  # seconds that a watch may answer late
--- a/packages/standins/src/primrosemill/standins/platform.py
+++ b/packages/standins/src/primrosemill/standins/platform.py
@@ -1,6 +1,6 @@
 """Stands in for the configuration service and the VM list.
 
-It speaks the protocol of docs/platform.md and counts every call, a waiting
+It speaks the protocol of docs/published.md and counts every call, a waiting
 watch as one. Readers may each have a view of their own, so that a fault
 meets some of them and not the others.
 """
--- a/packages/standins/src/primrosemill/standins/platform_modes.py
+++ b/packages/standins/src/primrosemill/standins/platform_modes.py
@@ -4,7 +4,7 @@
 
 
 class Working(typing.NamedTuple):
-    """Answers as docs/platform.md says."""
+    """Answers as docs/published.md says."""
 
 
 class Down(typing.NamedTuple):
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -12,7 +12,7 @@
 from primrosemill.fleet import messages
 from primrosemill.fleet import wire
 from primrosemill.measure import membership_network
-from primrosemill.platform import interfaces
+from primrosemill.fleet import interfaces
 from tests.builders import configuration
 
 FLEET = configuration.FLEET
--- a/tests/platform/test_over_http.py
+++ b/tests/published/test_over_http.py
@@ -2,8 +2,8 @@
 import trio
 
 from primrosemill.configuration import values
-from primrosemill.platform import interfaces
-from primrosemill.platform import over_http
+from primrosemill.fleet import interfaces
+from primrosemill.published import over_http
 from primrosemill.standins import asgi
 from primrosemill.standins import platform
 from primrosemill.standins import platform_modes as modes
--- a/tests/platform/test_page.py
+++ b/tests/published/test_page.py
@@ -4,10 +4,10 @@
 
 import testtools
 
-from primrosemill.platform import interfaces
-from primrosemill.platform import over_http
+from primrosemill.fleet import interfaces
+from primrosemill.published import over_http
 
-PAGE = pathlib.Path(__file__).parents[2] / "docs" / "platform.md"
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "published.md"
 
 
 class PageTest(testtools.TestCase):
--- a/tests/standins/test_command.py
+++ b/tests/standins/test_command.py
@@ -8,9 +8,9 @@
 import trio
 
 from primrosemill.configuration import files
-from primrosemill.platform import bounded
-from primrosemill.platform import interfaces
-from primrosemill.platform import over_http
+from primrosemill.published import bounded
+from primrosemill.fleet import interfaces
+from primrosemill.published import over_http
 from tests.builders import configuration as builders
 
 COMMAND = (sys.executable, "-m", "primrosemill.standins")
