--- a/packages/cli/src/primrosemill/cli/vms.py
+++ b/packages/cli/src/primrosemill/cli/vms.py
@@ -9,8 +9,8 @@
 from primrosemill.cli import exits
 from primrosemill.configuration import checks
 from primrosemill.configuration import faults
-from primrosemill.published import bounded
 from primrosemill.fleet import interfaces
+from primrosemill.published import bounded
 
 TIMEOUT = 5.0  # seconds
 # A status names up to 10,000 instances with some 250 bytes each.
--- a/packages/configuration/src/primrosemill/configuration/document.py
+++ b/packages/configuration/src/primrosemill/configuration/document.py
@@ -12,13 +12,21 @@
 
 
 class Instance(typing.NamedTuple):
-    """One backend server process, reached at ``ip`` and ``port``."""
+    """One backend server process, reached at ``ip`` and ``port``.
+
+    ``slots`` of 0 stand for the slots of its service. ``boot`` tells two
+    starts under one id apart. ``cold_for`` is how many seconds it was still
+    to be slow when it last told so.
+    """
 
     id: str
     ip: str
     port: int
     domain: str
     state: str = SERVING
+    slots: int = 0
+    boot: int = 0
+    cold_for: float = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -26,10 +34,23 @@
         return self.state == LEAVING
 
 
+class Share(typing.NamedTuple):
+    """The part of a route's requests that goes to one service."""
+
+    service: str
+    weight: float
+
+
 class Route(typing.NamedTuple):
     """Which requests belong to a service, and whether they may be repeated.
 
     An empty ``host`` matches every host, empty ``methods`` every method.
+    ``deadline`` is the longest that a request may take, ``target`` the time
+    in which an answer has its full worth; 0 stands for no target. Priority
+    0 is the most urgent. ``most_instances`` of 0 leaves it to the retry
+    policy to how many instances a request may be sent. A route of the
+    document itself names its services in ``shares``, and matches only paths
+    that begin with its whole prefix.
     """
 
     host: str
@@ -37,6 +58,12 @@
     methods: tuple[str, ...]
     idempotent: bool
     deadline: float
+    name: str = ""
+    target: float = 0.0
+    priority: int = 0
+    most_instances: int = 0
+    shares: tuple[Share, ...] = ()
+    large_bodies: bool = False
 
 
 class Service(typing.NamedTuple):
@@ -68,8 +95,37 @@
     burst: int
 
 
+class CallerBounds(typing.NamedTuple):
+    """What a caller may send; sizes in bytes, times in seconds."""
+
+    head_size: int = 16_384
+    body_size: int = 67_108_864
+    head_time: float = 10.0
+    idle_time: float = 75.0
+
+
+class BackendService(typing.NamedTuple):
+    """A service whose instances are discovered."""
+
+    name: str
+    connections: int
+    probe_path: str
+
+
+class Routing(typing.NamedTuple):
+    """What an operator configures where instances are discovered."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[BackendService, ...]
+    bounds: CallerBounds
+
+
 class Document(typing.NamedTuple):
-    """The whole configuration of a fleet in one version."""
+    """The whole configuration of a fleet in one version.
+
+    ``routes`` are those that no single service has to itself.
+    """
 
     fleet: str
     version: int
@@ -78,6 +134,7 @@
     default_limit: Limit
     services_by_name: dict[str, Service]
     limits_by_caller: dict[str, Limit]
+    routes: tuple[Route, ...] = ()
 
 
 def empty_document(fleet: str) -> Document:
--- /dev/null
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -0,0 +1,276 @@
+"""Chooses the instance that gets the next request of one service.
+
+An instance is used while it has a slot to spare, counted from this VM's own
+requests and from the load that the instance told in its last answer. Among
+those, trusted instances go before suspect ones, then those of the VM's own
+failure domain, then those that this VM leads, then the least loaded.
+"""
+
+import random
+import typing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import avoidance
+
+# A told load stands for what other VMs do there; it fades in this time, as
+# most requests that were counted have ended by then.
+LOAD_LIFETIME = 0.4  # seconds
+SHED_PAUSE = 0.1  # seconds that an instance which shed gets no request
+COLD_PENALTY = 1.0  # requests that a cold instance counts as holding
+STALL_FACTOR = 4.0  # times the usual time after which no answer is a sign
+LEAST_STALL = 0.4  # seconds; shorter delays are common on a busy network
+PART_LOAD = 0.5  # requests; a faded load below it counts as none
+FLOOR_SHARE = 0.7  # of the instances that stay usable whatever is suspected
+TRUSTED = avoidance.Trust.TRUSTED
+
+
+class Load(typing.NamedTuple):
+    """What an instance told of itself: requests, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class Need(typing.NamedTuple):
+    """What a request asks of an instance.
+
+    ``excluded`` are the instances that it has tried; ``only`` names those
+    that it may still be sent to, or is None for all. ``local`` keeps it in
+    the VM's own failure domain, as its body is large.
+    """
+
+    idempotent: bool
+    excluded: frozenset[str] = frozenset()
+    only: frozenset[str] | None = None
+    local: bool = False
+
+
+class _Use:
+    """What this VM knows and does with one instance."""
+
+    __slots__ = (
+        "cold_until",
+        "instance",
+        "others",
+        "others_at",
+        "paused_until",
+        "starts_by_ticket",
+    )
+
+    def __init__(self, instance: documents.Instance, now: float) -> None:
+        self.instance = instance
+        self.others = 0.0
+        self.others_at = now
+        self.paused_until = 0.0
+        self.cold_until = now + instance.cold_for
+        self.starts_by_ticket: dict[int, float] = {}
+
+    def occupied(self, now: float) -> float:
+        """Return the requests that the instance probably holds."""
+        fade = 1.0 - (now - self.others_at) / LOAD_LIFETIME
+        return len(self.starts_by_ticket) + self.others * max(0.0, fade)
+
+
+class Chosen(typing.NamedTuple):
+    """An instance was taken; the ticket gives its slot back."""
+
+    instance: documents.Instance
+    ticket: int
+    trust: avoidance.Trust
+    occupied: float
+
+
+class Balance:
+    """Chooses among the instances of one service for one VM."""
+
+    def __init__(
+        self, domain: str, generator: random.Random, usual_time: float
+    ) -> None:
+        self.avoidance = avoidance.Avoidance()
+        self.floor_share = FLOOR_SHARE
+        self.usual_time = usual_time
+        self._domain = domain
+        self._generator = generator
+        self._uses_by_id: dict[str, _Use] = {}
+        self._led_ids: frozenset[str] = frozenset()
+        self._next_ticket = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of instances that are not leaving."""
+        return sum(
+            not use.instance.leaving for use in self._uses_by_id.values()
+        )
+
+    @property
+    def busy(self) -> int:
+        """Return the number of requests that this VM has at instances."""
+        return sum(
+            len(use.starts_by_ticket) for use in self._uses_by_id.values()
+        )
+
+    def has_local(self, now: float) -> bool:
+        """Tell whether the VM's own domain has an instance to trust."""
+        for use in self._uses_by_id.values():
+            instance = use.instance
+            if instance.leaving or instance.domain != self._domain:
+                continue
+            if self.avoidance.trust(instance.id, now) is TRUSTED:
+                return True
+        return False
+
+    def slots(self) -> int:
+        """Return the slots of all instances that are not leaving."""
+        return sum(
+            use.instance.slots
+            for use in self._uses_by_id.values()
+            if not use.instance.leaving
+        )
+
+    def set_instances(
+        self, instances: typing.Iterable[documents.Instance], now: float
+    ) -> None:
+        """Take the instances that are known now."""
+        before_by_id = self._uses_by_id
+        self._uses_by_id = {}
+        for instance in instances:
+            use = before_by_id.get(instance.id)
+            if use is None or use.instance.boot != instance.boot:
+                use = _Use(instance, now)
+                self.avoidance.forget(instance.id)
+            use.instance = instance
+            self._uses_by_id[instance.id] = use
+        self.avoidance.keep(self._uses_by_id)
+
+    def set_led(self, led_ids: frozenset[str]) -> None:
+        """Take the instances that this VM should fill first."""
+        self._led_ids = led_ids
+
+    def choose(self, need: Need, now: float) -> Chosen | None:
+        """Take a slot of the best instance, or None if all are full."""
+        best: _Use | None = None
+        best_rank: tuple[float, ...] = ()
+        trust_by_id = self._trusts(now)
+        for use in self._uses_by_id.values():
+            trust = trust_by_id[use.instance.id]
+            if not self._usable(use, need, trust, now):
+                continue
+            rank = self._rank(use, need, trust, now)
+            if best is None or rank < best_rank:
+                best, best_rank = use, rank
+        if best is None:
+            return None
+        occupied = best.occupied(now)
+        self._next_ticket += 1
+        best.starts_by_ticket[self._next_ticket] = now
+        return Chosen(
+            best.instance,
+            self._next_ticket,
+            trust_by_id[best.instance.id],
+            occupied,
+        )
+
+    def release(self, instance_id: str, ticket: int) -> None:
+        """Give a slot back; an instance that is gone is no error."""
+        use = self._uses_by_id.get(instance_id)
+        if use is not None:
+            use.starts_by_ticket.pop(ticket, None)
+
+    def note_load(self, instance_id: str, load: Load, now: float) -> None:
+        """Take what an instance told with an answer.
+
+        Call it before :meth:`release`: the request that was answered is
+        still among this VM's own.
+        """
+        use = self._uses_by_id.get(instance_id)
+        if use is None:
+            return
+        own = len(use.starts_by_ticket)
+        use.others = float(max(0, load.running + load.waiting - own))
+        use.others_at = now
+
+    def note_shed(self, instance_id: str, now: float) -> None:
+        """Leave an instance alone for a moment that was full."""
+        use = self._uses_by_id.get(instance_id)
+        if use is not None:
+            pause = SHED_PAUSE * (0.5 + self._generator.random())
+            use.paused_until = now + pause
+
+    def next_chance(self, now: float) -> float:
+        """Return when a choice may succeed without a release."""
+        return now + SHED_PAUSE / 4
+
+    def _trusts(self, now: float) -> dict[str, avoidance.Trust]:
+        """Return the trust in each instance, with the floor kept.
+
+        The operator's share of the instances stays usable: where more are
+        suspect, the least suspect ones are used after all others.
+        """
+        trust_by_id = {}
+        avoided = []
+        for instance_id, use in self._uses_by_id.items():
+            trust = self.avoidance.trust(instance_id, now)
+            if trust is not avoidance.Trust.AVOIDED:
+                trust = self._doubt_stall(use, trust, now)
+            trust_by_id[instance_id] = trust
+            if trust is avoidance.Trust.AVOIDED:
+                avoided.append(instance_id)
+        allowed = int((1.0 - self.floor_share) * len(self._uses_by_id))
+        if len(avoided) > allowed:
+            avoided.sort(key=self.avoidance.failures)
+            for instance_id in avoided[: len(avoided) - allowed]:
+                trust_by_id[instance_id] = avoidance.Trust.LAST
+        return trust_by_id
+
+    def _doubt_stall(
+        self, use: _Use, trust: avoidance.Trust, now: float
+    ) -> avoidance.Trust:
+        """Avoid an instance that holds a request for far too long."""
+        oldest = next(iter(use.starts_by_ticket.values()), now)
+        limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
+        if now - oldest > limit:
+            return avoidance.Trust.AVOIDED
+        return trust
+
+    def _usable(
+        self, use: _Use, need: Need, trust: avoidance.Trust, now: float
+    ) -> bool:
+        instance = use.instance
+        if instance.leaving or instance.id in need.excluded:
+            return False
+        if need.only is not None and instance.id not in need.only:
+            return False
+        if now < use.paused_until:
+            return False
+        if need.local and instance.domain != self._domain:
+            return False
+        if trust is avoidance.Trust.AVOIDED:
+            return False
+        if trust is avoidance.Trust.ON_TRIAL and use.starts_by_ticket:
+            # One request at a time tries it.
+            return False
+        return use.occupied(now) + 1.0 <= instance.slots + PART_LOAD
+
+    def _rank(
+        self, use: _Use, need: Need, trust: avoidance.Trust, now: float
+    ) -> tuple[float, ...]:
+        occupied = use.occupied(now)
+        if now < use.cold_until:
+            occupied += COLD_PENALTY
+        remote = use.instance.domain != self._domain
+        other_lead = use.instance.id not in self._led_ids
+        return (
+            _standing(trust, need.idempotent and not remote),
+            remote,
+            other_lead,
+            occupied / max(1, use.instance.slots),
+            self._generator.random(),
+        )
+
+
+def _standing(trust: avoidance.Trust, may_try: bool) -> float:
+    """Return the order by trust; trials go first where they do no harm."""
+    if trust is avoidance.Trust.ON_TRIAL and may_try:
+        return -1.0
+    return float(trust)
--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -16,12 +16,19 @@
 
 
 class Wish(typing.NamedTuple):
-    """A request that wants a slot before its deadline, in seconds."""
+    """A request that wants a slot before its deadline, in seconds.
+
+    ``only`` names the instances that it may still be sent to; None stands
+    for all. ``route`` is the one that it came by, ``arrived`` when.
+    """
 
     caller: str
     deadline: float
     idempotent: bool = True
     excluded: frozenset[str] = frozenset()
+    only: frozenset[str] | None = None
+    route: documents.Route | None = None
+    arrived: float = 0.0
 
 
 class Granted(typing.NamedTuple):
--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -17,6 +17,7 @@
     CONNECT_FAILED = "connect_failed"
     CLOSED_UNSENT = "closed_unsent"
     SHED = "shed"
+    OTHER_INSTANCE = "other_instance"
     CANCELLED_UNSENT = "cancelled_unsent"
 
 
@@ -28,6 +29,8 @@
     TRUNCATED = "truncated"
     CANCELLED = "cancelled"
     PROTOCOL = "protocol"
+    FOREIGN_ANSWER = "foreign_answer"
+    ERROR_ANSWER = "error_answer"
 
 
 class RefusalReason(enum.StrEnum):
@@ -42,6 +45,7 @@
     DEADLINE = "deadline"
     RETRIES_SPENT = "retries_spent"
     BODY_SENT = "body_sent"
+    BODY_TOO_LARGE = "body_too_large"
 
 
 class NotRun(typing.NamedTuple):
--- a/packages/decisions/src/primrosemill/decisions/retries.py
+++ b/packages/decisions/src/primrosemill/decisions/retries.py
@@ -23,13 +23,15 @@
     """What of a request a retry depends on; ``deadline`` is a time.
 
     ``replayable`` tells that its body can be sent once more, ``passed_on``
-    that some of an answer went to the caller already.
+    that some of an answer went to the caller already, ``waits_for_budget``
+    that after a shed it may wait until the budget has filled again.
     """
 
     idempotent: bool
     deadline: float
     replayable: bool = True
     passed_on: bool = False
+    waits_for_budget: bool = True
 
 
 class Again(typing.NamedTuple):
@@ -96,7 +98,7 @@
     reason = _refusal(request, history, now)
     if reason is None and budget.spend():
         return Again(pause_after(history.attempts))
-    if reason is None and history.shed:
+    if reason is None and history.shed and request.waits_for_budget:
         return Wait(LONGEST_PAUSE)
     return Finish(
         reason or outcomes.RefusalReason.RETRIES_SPENT,
@@ -127,7 +129,7 @@
 
     The emptier the budget, the longer the service has been failing.
     """
-    spent = 1.0 - budget.left / retry_budget.RESERVE
+    spent = 1.0 - budget.left / budget.reserve
     return LEAST_RETRY_AFTER + spent * (MOST_RETRY_AFTER - LEAST_RETRY_AFTER)
 
 
--- a/packages/decisions/src/primrosemill/decisions/retry_budget.py
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -12,8 +12,12 @@
     times ``1 + RETRY_SHARE`` plus the reserve, whatever the outcomes are.
     """
 
-    def __init__(self) -> None:
-        self._tokens = RESERVE
+    def __init__(
+        self, share: float = RETRY_SHARE, reserve: float = RESERVE
+    ) -> None:
+        self.share = share
+        self.reserve = reserve
+        self._tokens = reserve
 
     @property
     def left(self) -> float:
@@ -22,7 +26,7 @@
 
     def earn(self) -> None:
         """Count a request."""
-        self._tokens = min(RESERVE, self._tokens + RETRY_SHARE)
+        self._tokens = min(self.reserve, self._tokens + self.share)
 
     def spend(self) -> bool:
         """Take one attempt out, or return False when there is none left."""
--- a/packages/decisions/src/primrosemill/decisions/routes.py
+++ b/packages/decisions/src/primrosemill/decisions/routes.py
@@ -88,6 +88,8 @@
         for service in document.services_by_name.values():
             for route in service.routes:
                 self._add(Match(service.name, route))
+        for route in document.routes:
+            self._add(Match(route.shares[0].service, route))
 
     def find(self, host: str, path: str, method: str) -> Match | None:
         """Return the match of a checked path, or None.
@@ -121,8 +123,13 @@
             for each_method in (method, ANY):
                 # A plain tuple equals the key and is built faster.
                 match = self._match_by_key.get((host, prefix, each_method))
-                if match is not None:
+                if match is not None and _begins(match.route, path):
                     return match
             if not prefix:
                 return None
             prefix = prefix.rpartition("/")[0]
+
+
+def _begins(route: documents.Route, path: str) -> bool:
+    """Tell whether a path begins with all of a split route's prefix."""
+    return not route.shares or path.startswith(route.path_prefix)
--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -9,6 +9,7 @@
 from primrosemill.configuration import faults
 from primrosemill.configuration import values
 from primrosemill.configuration import versions
+from primrosemill.fleet import interfaces
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import messages
@@ -17,7 +18,6 @@
 from primrosemill.fleet import spread
 from primrosemill.fleet import store_watch
 from primrosemill.fleet import transport
-from primrosemill.fleet import interfaces
 
 WATCH_WAIT = 10.0  # seconds
 STEP = 0.1  # seconds between looks whether a start may serve
@@ -56,6 +56,16 @@
         self._accepted = trio.Event()
         self._news = trio.Event()
 
+    def start(self, nursery: trio.Nursery) -> None:
+        """Start the tasks that follow the store and the peers."""
+        nursery.start_soon(self.put_in_force)
+        nursery.start_soon(self.follow_store)
+        nursery.start_soon(self.follow_peers)
+
+    def forget(self, vm_id: str) -> None:
+        """Drop what was heard from a VM that is gone."""
+        self._configuration.forget(vm_id)
+
     def fleet_size(self) -> int:
         """Return how many VMs the fleet has, as far as this VM knows."""
         known = 1 + len(self._view.table.present_by_id)
@@ -214,7 +224,7 @@
     async def _pull(self, order: spread.PullOrder) -> bool:
         entry = self._view.table.members_by_id[order.vm_id].entry
         with self._link.open_requests(entry.ip, entry.port) as requests:
-            index_value = await _collect_one(requests, values.INDEX_KEY)
+            index_value = await pulls.collect_one(requests, values.INDEX_KEY)
             if index_value is None:
                 return False
             index = assembly.decode_index(index_value)
@@ -227,7 +237,7 @@
                 return in_force >= order.version.number
             values_by_key = self._held_values()
             missing = values.part_keys(index.ok).keys() - values_by_key.keys()
-            collected = await _collect(requests, sorted(missing))
+            collected = await pulls.collect(requests, sorted(missing))
         if collected is None:
             return False
         values_by_key.update(collected)
@@ -238,7 +248,7 @@
     async def pull_members(self, entry: messages.Entry) -> None:
         """Merge the table of members of another VM."""
         with self._link.open_requests(entry.ip, entry.port) as requests:
-            value = await _collect_one(requests, pulls.MEMBERS_KEY)
+            value = await pulls.collect_one(requests, pulls.MEMBERS_KEY)
         if value is None:
             return
         entries = pulls.decode_members(value)
@@ -254,24 +264,3 @@
             table = pulls.encode_members(self._view.entries())
             held = {pulls.MEMBERS_KEY: table}
         return pulls.answer(pull, self._view.version, held)
-
-
-async def _collect(
-    requests: transport.Requests, keys: typing.Iterable[str]
-) -> dict[str, bytes] | None:
-    """Pull whole values from one VM; None where that failed."""
-    collection = pulls.Collection(keys)
-    while True:
-        wants = collection.next_wants()
-        if not wants:
-            break
-        answer = await requests.pull(wants)
-        if answer is None:
-            return None
-        collection.take(answer.pieces)
-    return None if collection.failed else collection.values_by_key
-
-
-async def _collect_one(requests: transport.Requests, key: str) -> bytes | None:
-    collected = await _collect(requests, [key])
-    return None if collected is None else collected[key]
--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -120,6 +120,20 @@
         self._update_own(leaving=True)
         return self._ping_some(2 * HELPERS)
 
+    def set_leaving(self, leaving: bool) -> None:
+        """Say from the next message on whether this VM takes callers."""
+        if leaving != self.own.leaving:
+            self._update_own(leaving=leaving)
+
+    def announce_serving(self) -> list[Outgoing]:
+        """Tell the fleet that this VM takes callers from now on."""
+        self._update_own(leaving=False)
+        return self._ping_some(2 * HELPERS)
+
+    def set_first_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Take other addresses at which VMs of the fleet may answer."""
+        self._first_peers = peers
+
     def announce_gone(self) -> list[Outgoing]:
         """Tell the fleet that this process ends now."""
         self._update_own(liveness=messages.Liveness.GONE)
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from primrosemill.decisions import evidence
+from primrosemill.fleet import feed
 
 PROTOCOL_VERSION = 1
 LARGEST_INTEGER = 2**63 - 1
@@ -33,6 +34,8 @@
     EVIDENCE = 5
     PULL = 6
     PULL_ANSWER = 7
+    CHANGES = 8
+    SUSPICION = 9
 
 
 class Liveness(enum.IntEnum):
@@ -158,8 +161,34 @@
     pieces: typing.Annotated[tuple[Piece, ...], msgspec.Meta(max_length=256)]
 
 
+class Changes(typing.NamedTuple):
+    """Passes on what the sender has just read from the feed."""
+
+    batch: feed.Batch
+
+
+class Suspicion(typing.NamedTuple):
+    """Tells that an instance has just failed a request of the sender.
+
+    The sender avoids it for so many seconds.
+    """
+
+    service: Name
+    instance_id: Name
+    boot: Count
+    seconds: float
+
+
 Message = (
-    Ping | Ack | ProbeRequest | ProbeResult | EvidenceBatch | Pull | PullAnswer
+    Ping
+    | Ack
+    | ProbeRequest
+    | ProbeResult
+    | EvidenceBatch
+    | Pull
+    | PullAnswer
+    | Changes
+    | Suspicion
 )
 
 KINDS_BY_TYPE: dict[type, Kind] = {
@@ -170,4 +199,6 @@
     EvidenceBatch: Kind.EVIDENCE,
     Pull: Kind.PULL,
     PullAnswer: Kind.PULL_ANSWER,
+    Changes: Kind.CHANGES,
+    Suspicion: Kind.SUSPICION,
 }
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -9,16 +9,20 @@
 from primrosemill.decisions import evidence
 from primrosemill.fleet import evidence_exchange
 from primrosemill.fleet import evidence_inbox
+from primrosemill.fleet import feed
+from primrosemill.fleet import feed_follower
 from primrosemill.fleet import follower
+from primrosemill.fleet import interfaces
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import messages
+from primrosemill.fleet import mirror
 from primrosemill.fleet import observations
+from primrosemill.fleet import readers
 from primrosemill.fleet import spread
 from primrosemill.fleet import store_watch
 from primrosemill.fleet import transport
 from primrosemill.fleet import wire
-from primrosemill.fleet import interfaces
 
 TICK = 0.1  # seconds
 TABLE_INTERVAL = 60.0  # seconds between pulls of a peer's table of members
@@ -32,10 +36,22 @@
 ReportHandler = typing.Callable[[evidence.Report, float], None]
 
 
+# Gets what a peer suspects, and the peer's failure domain.
+SuspicionHandler = typing.Callable[[messages.Suspicion, str], None]
+
+
 def _ignore_report(report: evidence.Report, measured: float) -> None:
     pass
 
 
+def _ignore_change(applied: mirror.Applied, source: str, now: float) -> None:
+    pass
+
+
+def _ignore_suspicion(suspicion: messages.Suspicion, domain: str) -> None:
+    pass
+
+
 class Identity(typing.NamedTuple):
     """Who this process is; the incarnation is its start in ms."""
 
@@ -49,11 +65,15 @@
 
 
 class Platform(typing.NamedTuple):
-    """What is read from the platform; the VM list may be absent."""
+    """What is read from the platform; the VM list may be absent.
 
-    store: interfaces.Store
+    With a feed the instances are discovered, and there is no document.
+    """
+
+    store: interfaces.Store | None
     vm_list: interfaces.VmList | None = None
     list_port: int = 0
+    source: feed.Feed | None = None
 
 
 class Hooks(typing.NamedTuple):
@@ -63,6 +83,8 @@
     homes_by_service: HomesByService = dict
     observe: observations.Observer = observations.ignore
     on_report: ReportHandler = _ignore_report
+    on_change: feed_follower.ChangeHandler = _ignore_change
+    on_suspicion: SuspicionHandler = _ignore_suspicion
 
 
 class Node:
@@ -87,7 +109,9 @@
         self._outbox: evidence_exchange.Outbox | None = None
         self.membership: membership.Membership | None = None
         self.spread: spread.Spread | None = None
-        self.follower: follower.Follower | None = None
+        self.follower: (
+            follower.Follower | feed_follower.FeedFollower | None
+        ) = None
 
     async def run(
         self,
@@ -133,7 +157,27 @@
             bool(self._first_peers) or self._platform.vm_list is not None
         )
         self._outbox = evidence_exchange.Outbox(now)
-        self.follower = follower.Follower(
+        if self._platform.source is not None:
+            self.follower = self._follow_feed(self._platform.source, now)
+        else:
+            self.follower = self._follow_store(now)
+
+    def _follow_feed(
+        self, source: feed.Feed, now: float
+    ) -> feed_follower.FeedFollower:
+        # No caller is sent here before there is something to serve by.
+        self.membership.set_leaving(True)
+        return feed_follower.FeedFollower(
+            self.membership,
+            source,
+            readers.Readers(self._generator, now),
+            self._link,
+            self._hooks.observe,
+            self._hooks.on_change,
+        )
+
+    def _follow_store(self, now: float) -> follower.Follower:
+        made = follower.Follower(
             self.membership,
             self.spread,
             store_watch.StoreWatch(self._generator, now),
@@ -142,16 +186,15 @@
             self._hooks.observe,
             self._hooks.on_document,
         )
-        self.follower.expected_size = 1 + len(self._first_peers)
+        made.expected_size = 1 + len(self._first_peers)
+        return made
 
     def _start_tasks(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._link.receive, self._handle)
         nursery.start_soon(self._link.answer_pulls, self.follower.answer_pull)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._join)
-        nursery.start_soon(self.follower.put_in_force)
-        nursery.start_soon(self.follower.follow_store)
-        nursery.start_soon(self.follower.follow_peers)
+        self.follower.start(nursery)
         if self._platform.vm_list is not None:
             nursery.start_soon(self._read_list)
 
@@ -199,11 +242,43 @@
         if isinstance(message, messages.EvidenceBatch):
             self._take_evidence(received, message)
             return
+        if isinstance(message, messages.Changes):
+            if self._platform.source is not None:
+                self.follower.take_changes(received.sender_id, message)
+            return
+        if isinstance(message, messages.Suspicion):
+            self._take_suspicion(received.sender_id, message)
+            return
         outgoing = self.membership.receive(message, trio.current_time())
         if isinstance(message, messages.Ping | messages.Ack):
             self.follower.hear(received.sender_id, message.version)
         await self._send_all(outgoing)
 
+    def _take_suspicion(
+        self, sender_id: str, suspicion: messages.Suspicion
+    ) -> None:
+        member = self.membership.table.members_by_id.get(sender_id)
+        if member is not None:
+            self._hooks.on_suspicion(suspicion, member.entry.domain)
+
+    async def tell_suspicion(self, suspicion: messages.Suspicion) -> None:
+        """Tell the VMs of this failure domain what has just failed."""
+        own = self.membership.own
+        for entry in list(self.membership.table.present_by_id.values()):
+            if entry.domain != own.domain:
+                continue
+            await self._link.send(entry.ip, entry.port, suspicion)
+
+    def set_first_peers(self, peers: tuple[membership.Peer, ...]) -> None:
+        """Take other first peers, as the settings changed."""
+        self._first_peers = peers
+        if self.membership is not None:
+            self.membership.set_first_peers(peers)
+
+    async def announce_serving(self) -> None:
+        """Tell the fleet that this VM takes callers."""
+        await self._send_all(self.membership.announce_serving())
+
     def _take_evidence(
         self, received: wire.Received, batch: messages.EvidenceBatch
     ) -> None:
@@ -250,7 +325,7 @@
         """Drop what VMs said that are gone; their ids may not come back."""
         for entry in self.membership.table.gone_entries():
             self._inbox.forget(entry.vm_id)
-            self.spread.forget(entry.vm_id)
+            self.follower.forget(entry.vm_id)
 
     async def _join(self) -> None:
         """Learn the whole fleet from one peer, and again now and then."""
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -4,9 +4,9 @@
 
 from primrosemill.configuration import faults
 from primrosemill.fleet import evidence_inbox
+from primrosemill.fleet import feed
 from primrosemill.fleet import spread
 from primrosemill.fleet import wire
-from primrosemill.fleet import interfaces
 
 
 class MessageRefused(typing.NamedTuple):
@@ -44,9 +44,9 @@
 
 
 class StoreFailed(typing.NamedTuple):
-    """The store or the VM list gave no usable answer."""
+    """The store, the feed or the VM list gave no usable answer."""
 
-    fault: interfaces.PlatformFault
+    fault: feed.FeedFault
 
 
 class StoreAnswered(typing.NamedTuple):
@@ -60,6 +60,18 @@
     version: int
 
 
+class HistoryLost(typing.NamedTuple):
+    """The feed forgot the changes since a revision; all is read again."""
+
+    after: int
+
+
+class BadItemRead(typing.NamedTuple):
+    """A published value can't be used; the others are."""
+
+    bad: feed.BadItem
+
+
 Observation = (
     MessageRefused
     | EvidenceRejected
@@ -69,6 +81,8 @@
     | StoreFailed
     | StoreAnswered
     | PullFailed
+    | HistoryLost
+    | BadItemRead
 )
 Observer = typing.Callable[[Observation], None]
 
--- a/packages/fleet/src/primrosemill/fleet/pulls.py
+++ b/packages/fleet/src/primrosemill/fleet/pulls.py
@@ -1,7 +1,7 @@
 """Moves published values between VMs in bounded messages.
 
-Both halves are pure: the holder answers a pull from the values it has, and
-the puller collects the pieces and says what to ask next.
+The holder answers a pull from the values it has, and the puller collects the
+pieces and says what to ask next; both are pure.
 """
 
 import typing
@@ -10,6 +10,7 @@
 
 from primrosemill.configuration import values
 from primrosemill.fleet import messages
+from primrosemill.fleet import transport
 
 ANSWER_SIZE = 64 * 1_024  # bytes of values in one answer
 PIECE_OVERHEAD = 200  # bytes counted for each piece besides its chunk
@@ -91,3 +92,25 @@
             self.values_by_key[piece.key] = bytes(received)
             del self._chunks_by_key[piece.key]
         return True
+
+
+async def collect(
+    requests: transport.Requests, keys: typing.Iterable[str]
+) -> dict[str, bytes] | None:
+    """Pull whole values from one VM; None where that failed."""
+    collection = Collection(keys)
+    while True:
+        wants = collection.next_wants()
+        if not wants:
+            break
+        answer = await requests.pull(wants)
+        if answer is None:
+            return None
+        collection.take(answer.pieces)
+    return None if collection.failed else collection.values_by_key
+
+
+async def collect_one(requests: transport.Requests, key: str) -> bytes | None:
+    """Pull one whole value from one VM; None where that failed."""
+    collected = await collect(requests, [key])
+    return None if collected is None else collected[key]
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -1,6 +1,7 @@
 """Answers callers' requests: finds the route and concludes the exchange."""
 
 import random
+import typing
 
 import trio
 
@@ -8,6 +9,7 @@
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import paths
 from primrosemill.decisions import routes
+from primrosemill.decisions import splits
 from primrosemill.decisions import standings
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import asgi
@@ -15,6 +17,7 @@
 from primrosemill.proxy import callers
 from primrosemill.proxy import connections
 from primrosemill.proxy import counters
+from primrosemill.proxy import dialects
 from primrosemill.proxy import dispatch
 from primrosemill.proxy import exchange
 from primrosemill.proxy import flights
@@ -25,6 +28,9 @@
 from primrosemill.proxy import reports
 
 Lookup = routes.Match | plugs.Refused
+MakeDispatcher = typing.Callable[
+    [documents.Service, alarms.Alarm], flights.Dispatcher
+]
 
 
 class Application:
@@ -36,14 +42,21 @@
         decisions: plugs.Plugs | None = None,
         counts: counters.Counters | None = None,
         queue_limit: int = dispatch.QUEUE_LIMIT,
+        dialect: dialects.Dialect = dialects.OWN,
+        make_dispatcher: MakeDispatcher | None = None,
     ) -> None:
         self._generator = generator
         self._plugs = decisions or plugs.plain()
         self._counters = counts or counters.Counters()
         self._table: routes.RouteTable | None = None
         self._connections = connections.Connections()
-        self._dispatchers_by_service: dict[str, dispatch.Dispatcher] = {}
+        self._routed: documents.Document | None = None
+        self._splitter = splits.Splitter(generator)
+        self._dialect = dialect
+        self._dispatchers_by_service: dict[str, flights.Dispatcher] = {}
         self._queue_limit = queue_limit
+        self._make_dispatcher = make_dispatcher or self._plain_dispatcher
+        self.body_limit: int | None = None
         self._alarm = alarms.Alarm()
         self._hedges = hedging.Hedges()
         self._reports = reports.Reports(self._counters)
@@ -52,13 +65,13 @@
 
     def set_document(self, document: documents.Document) -> None:
         """Put a new version in force."""
-        self._table = routes.RouteTable(document)
+        self._set_routes(document)
         before = self._dispatchers_by_service
         self._dispatchers_by_service = {}
         for name, service in document.services_by_name.items():
             dispatcher = before.get(name)
             if dispatcher is None:
-                dispatcher = self._make_dispatcher(service)
+                dispatcher = self._make_dispatcher(service, self._alarm)
             else:
                 dispatcher.set_service(service)
             self._dispatchers_by_service[name] = dispatcher
@@ -79,11 +92,20 @@
         if dispatcher is not None:
             dispatcher.set_standing(instance_id, standing)
 
-    def _make_dispatcher(
-        self, service: documents.Service
+    def _set_routes(self, document: documents.Document) -> None:
+        """Build the table, unless the document's own routes are the same."""
+        before, self._routed = self._routed, document
+        known = before.routes if before is not None else None
+        if document.routes and document.routes is known:
+            return
+        self._table = routes.RouteTable(document)
+        self._splitter.forget_others(document.routes)
+
+    def _plain_dispatcher(
+        self, service: documents.Service, alarm: alarms.Alarm
     ) -> dispatch.Dispatcher:
         return dispatch.Dispatcher(
-            service, self._generator, self._alarm, self._queue_limit
+            service, self._generator, alarm, self._queue_limit
         )
 
     def keep_house(self) -> None:
@@ -115,7 +137,9 @@
         """Answer one request."""
         body = replay.ReplayBody(receive, absent=_has_no_body(scope))
         connection = scope["state"][callers.CONNECTION_KEY]
-        caller = callers.Caller(send, body, connection, self._is_closing)
+        caller = callers.Caller(
+            send, body, connection, self._is_closing, self._dialect
+        )
         self.in_flight += 1
         started = trio.current_time()
         try:
@@ -155,7 +179,9 @@
         refused = self._plugs.admission.admit(caller_id, match.service, now)
         if refused is not None:
             return refused
-        outgoing = _outgoing(scope, body, match.route, now)
+        if self._is_too_large(scope):
+            return plugs.Refused(outcomes.RefusalReason.BODY_TOO_LARGE)
+        outgoing = _outgoing(scope, body, match.route, now, self._dialect)
         self._plugs.retries.request_started(match.service, now)
         return await self._exchange(match.service, caller_id, outgoing, caller)
 
@@ -169,7 +195,20 @@
         match = self._table.find(
             host.decode("latin-1"), path.ok, scope["method"]
         )
-        return match or plugs.Refused(outcomes.RefusalReason.NO_ROUTE)
+        if match is None:
+            return plugs.Refused(outcomes.RefusalReason.NO_ROUTE)
+        if match.route.shares:
+            service = self._splitter.choose(match.route)
+            match = match._replace(service=service)
+        if match.service not in self._dispatchers_by_service:
+            return plugs.Refused(outcomes.RefusalReason.NO_INSTANCE)
+        return match
+
+    def _is_too_large(self, scope: asgi.Scope) -> bool:
+        if self.body_limit is None:
+            return False
+        length = headers.find(scope["headers"], headers.CONTENT_LENGTH)
+        return length is not None and int(length) > self.body_limit
 
     async def _exchange(
         self,
@@ -203,7 +242,7 @@
         if caller.started:
             caller.abort()
             return exchange.Aborted(outcomes.UnknownReason.TIMEOUT)
-        return running.unknown or plugs.Refused(running.late_reason)
+        return await running.end_late()
 
 
 async def _conclude(ending: exchange.Ending, caller: callers.Caller) -> None:
@@ -234,16 +273,23 @@
     body: replay.ReplayBody,
     route: documents.Route,
     now: float,
+    dialect: dialects.Dialect,
 ) -> attempts.Outgoing:
     """Build what is sent to instances from what the caller sent."""
     lines = scope["headers"]
-    timeout = headers.parse_timeout(
-        headers.find(lines, headers.TIMEOUT), route.deadline
+    timeout = dialect.parse_timeout(
+        headers.find(lines, dialect.timeout), route.deadline
     )
+    request_id = None
+    if dialect.request_id is not None:
+        request_id = headers.find(lines, dialect.request_id)
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
-    forwarded = headers.forward(lines, headers.REQUEST_NAMES_DROPPED)
+    own_names = {dialect.timeout, dialect.expected_instance}
+    forwarded = headers.forward(
+        lines, headers.REQUEST_NAMES_DROPPED | own_names
+    )
     if headers.find(lines, headers.TRANSFER_ENCODING) is not None:
         forwarded.append(headers.CHUNKED)
     return attempts.Outgoing(
@@ -253,4 +299,8 @@
         body,
         route.idempotent,
         now + timeout,
+        now,
+        route,
+        request_id,
+        dialect,
     )
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -11,20 +11,25 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
 from primrosemill.proxy import connections
+from primrosemill.proxy import dialects
 from primrosemill.proxy import headers
 from primrosemill.proxy import replay
 from primrosemill.proxy import wire
 
 CONNECT_TIMEOUT = 1.0  # seconds
+FIRST_ERROR_STATUS = 400
 HOLD_SIZE = 65_536  # bytes of an answer that are read before it goes on
-STATUS_UNAVAILABLE = 503
 
 
 class Outgoing(typing.NamedTuple):
-    """What is sent to an instance; the deadline is a trio time."""
+    """What is sent to an instance; the times are trio times.
+
+    ``request_id`` must stand in the answer; None where nothing must.
+    """
 
     method: bytes
     target: bytes
@@ -32,6 +37,10 @@
     body: replay.ReplayBody
     idempotent: bool
     deadline: float
+    arrived: float = 0.0
+    route: documents.Route | None = None
+    request_id: bytes | None = None
+    dialect: dialects.Dialect = dialects.OWN
 
 
 class Answer(typing.NamedTuple):
@@ -68,6 +77,8 @@
         self._whole = False
         self.maybe_ran = False
         self.draining = False
+        self.load: balance.Load | None = None
+        self._idle_time: float | None = None
 
     async def close(self) -> None:
         """Keep the connection if its answer was read whole, else close it."""
@@ -75,7 +86,7 @@
         if connection is None:
             return
         if self._whole:
-            self._pool.put_back(self._instance, connection)
+            self._pool.put_back(self._instance, connection, self._idle_time)
             return
         connection.stream.close()
         if self._pieces is not None:
@@ -137,14 +148,40 @@
         self._pieces = aiter(response.stream)
         state = headers.find(response.headers, headers.INSTANCE_STATE)
         self.draining = state == headers.DRAINING
+        if not self._is_own(response):
+            return outcomes.Unknown(outcomes.UnknownReason.FOREIGN_ANSWER)
+        dialect = self._outgoing.dialect
+        self.load = dialect.read_load(response.headers)
+        self._idle_time = headers.parse_idle_time(response.headers)
         ending = await self._hold(response, first_byte)
-        if _is_shed(response):
-            return outcomes.NotRun(outcomes.NotRunReason.SHED)
+        not_run = dialect.read_not_run(response.status, response.headers)
+        if not_run is not None:
+            return outcomes.NotRun(not_run)
+        if dialect.plain_answers and headers.is_encoded(response.headers):
+            return outcomes.Unknown(outcomes.UnknownReason.PROTOCOL)
         return ending
 
+    def _is_own(self, response: httpcore.Response) -> bool:
+        """Tell whether an answer belongs to the request that was sent.
+
+        An instance may leave the id out of a failure, not of a success.
+        """
+        request_id = self._outgoing.request_id
+        if request_id is None:
+            return True
+        name = self._outgoing.dialect.request_id
+        told = headers.find(response.headers, name)
+        if told is None:
+            return response.status >= FIRST_ERROR_STATUS
+        return told == request_id
+
     def _request(self, has_body: bool) -> httpcore.Request:
         outgoing = self._outgoing
+        dialect = outgoing.dialect
         time_left = outgoing.deadline - trio.current_time()
+        own = [(dialect.timeout, dialect.format_timeout(time_left))]
+        if dialect.expected_instance is not None:
+            own.append((dialect.expected_instance, self._instance.id.encode()))
         return httpcore.Request(
             outgoing.method,
             httpcore.URL(
@@ -153,10 +190,7 @@
                 port=self._instance.port,
                 target=outgoing.target,
             ),
-            headers=[
-                *outgoing.headers,
-                (headers.TIMEOUT, headers.format_timeout(time_left)),
-            ],
+            headers=[*outgoing.headers, *own],
             content=self._chunks() if has_body else None,
         )
 
@@ -176,7 +210,7 @@
         self, response: httpcore.Response, first_byte: float
     ) -> Answer | outcomes.Unknown:
         held = b""
-        limit = _size_to_hold(response)
+        limit = _size_to_hold(response, self._outgoing.dialect.hold_unsized)
         while len(held) < limit:
             piece = await self.next_piece()
             if isinstance(piece, outcomes.Unknown):
@@ -197,27 +231,21 @@
         return outcomes.Unknown(outcomes.UnknownReason.CLOSED)
 
 
-def _is_shed(response: httpcore.Response) -> bool:
-    if response.status != STATUS_UNAVAILABLE:
-        return False
-    return headers.find(response.headers, headers.SHED) is not None
-
-
 def _connect_reason(error: OSError) -> outcomes.NotRunReason:
     if wire.is_refusal(error):
         return outcomes.NotRunReason.CONNECT_REFUSED
     return outcomes.NotRunReason.CONNECT_FAILED
 
 
-def _size_to_hold(response: httpcore.Response) -> int:
+def _size_to_hold(response: httpcore.Response, hold_unsized: bool) -> int:
     """Return how many bytes of the body to read before it goes on.
 
     A body of unknown length may come slowly and without end, so only its
-    first piece is waited for.
+    first piece is waited for, unless such bodies are known to be short.
     """
     length = headers.find(response.headers, headers.CONTENT_LENGTH)
     if length is None or not length.isdigit():
-        return 1
+        return HOLD_SIZE if hold_unsized else 1
     if int(length) > HOLD_SIZE:
         return 1
     return int(length) + 1
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -8,6 +8,7 @@
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
 from primrosemill.proxy import attempts
+from primrosemill.proxy import dialects
 from primrosemill.proxy import headers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import replay
@@ -15,18 +16,8 @@
 CONNECTION_KEY = "connection"
 PROGRESS_TIMEOUT = 60.0  # seconds without progress once an answer began
 LINGER_TIMEOUT = 10.0  # seconds that a refused upload is read on
-STATUS_BAD_REQUEST = 400
-STATUS_NO_ROUTE = 404
-STATUS_TOO_MANY_REQUESTS = 429
 STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
-STATUS_BY_REFUSAL = {
-    outcomes.RefusalReason.BAD_PATH: STATUS_BAD_REQUEST,
-    outcomes.RefusalReason.NO_ROUTE: STATUS_NO_ROUTE,
-    outcomes.RefusalReason.CALLER_LIMIT: STATUS_TOO_MANY_REQUESTS,
-    outcomes.RefusalReason.DEADLINE: STATUS_GATEWAY_TIMEOUT,
-}
 
 
 class CallerConnection(typing.Protocol):
@@ -53,11 +44,13 @@
         body: replay.ReplayBody,
         connection: CallerConnection,
         closing: typing.Callable[[], bool],
+        dialect: dialects.Dialect = dialects.OWN,
     ) -> None:
         self._send = send
         self._body = body
         self._connection = connection
         self._closing = closing
+        self._dialect = dialect
         self._scope: trio.CancelScope | None = None
         self.started = False
         self.gone = False
@@ -106,8 +99,12 @@
 
     async def refuse(self, refused: plugs.Refused) -> None:
         """Say that the request was not run, why, and when to ask again."""
-        retry_after = str(max(1, math.ceil(refused.retry_after))).encode()
-        status = STATUS_BY_REFUSAL.get(refused.reason, STATUS_UNAVAILABLE)
+        retry_after = f"{refused.retry_after:.2f}".encode()
+        if self._dialect.whole_seconds:
+            retry_after = str(max(1, math.ceil(refused.retry_after))).encode()
+        status = self._dialect.status_by_refusal.get(
+            refused.reason, dialects.STATUS_UNAVAILABLE
+        )
         await self._conclude(
             status,
             [
--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -12,6 +12,8 @@
 # A server closes connections that were idle for long. One that served a
 # request this lately is unlikely to close just as the next is written.
 FRESH_FOR = 1.0  # seconds
+# The instance's clock for an idle connection started before ours.
+IDLE_SHARE = 0.8  # of the time that an instance keeps an idle connection
 IDLE_LIMIT = 16  # connections to one instance
 
 
@@ -63,10 +65,11 @@
 
 
 class Idle(typing.NamedTuple):
-    """A connection that may be used again, and since when it is idle."""
+    """A connection that may be used again, since when and until when."""
 
     connection: Connection
     since: float
+    until: float
 
 
 class Connections:
@@ -92,8 +95,8 @@
         while idle:
             if now - idle[-1].since > lifetime:
                 return None
-            connection = idle.pop().connection
-            if not connection.stream.is_readable():
+            connection, _, until = idle.pop()
+            if now < until and not connection.stream.is_readable():
                 return connection
             connection.stream.close()
         return None
@@ -105,20 +108,30 @@
         return Connection(HttpConnection(origin, stream), stream)
 
     def put_back(
-        self, instance: documents.Instance, connection: Connection
+        self,
+        instance: documents.Instance,
+        connection: Connection,
+        idle_time: float | None = None,
     ) -> None:
-        """Keep a connection whose answer was read whole."""
+        """Keep a connection whose answer was read whole.
+
+        ``idle_time`` is what the instance says it keeps it, in seconds.
+        """
         idle = self._idle_by_address.setdefault(_address(instance), [])
         if not connection.http.is_reusable() or len(idle) >= IDLE_LIMIT:
             connection.stream.close()
             return
-        idle.append(Idle(connection, trio.current_time()))
+        now = trio.current_time()
+        lifetime = IDLE_LIFETIME
+        if idle_time is not None:
+            lifetime = min(lifetime, idle_time * IDLE_SHARE)
+        idle.append(Idle(connection, now, now + lifetime))
 
     def close_expired(self) -> None:
         """Close what was idle for too long; call it now and then."""
-        oldest = trio.current_time() - IDLE_LIFETIME
+        now = trio.current_time()
         for address, idle in list(self._idle_by_address.items()):
-            while idle and idle[0].since < oldest:
+            while idle and idle[0].until < now:
                 idle.pop(0).connection.stream.close()
             if not idle:
                 del self._idle_by_address[address]
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -10,9 +10,8 @@
 from primrosemill.decisions import addresses as decided_addresses
 from primrosemill.decisions import homes
 from primrosemill.decisions import standings
-from primrosemill.fleet import node
 from primrosemill.fleet import interfaces
-from primrosemill.published import over_http
+from primrosemill.fleet import node
 from primrosemill.proxy import addresses
 from primrosemill.proxy import admin
 from primrosemill.proxy import admission
@@ -30,6 +29,7 @@
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import status
 from primrosemill.proxy import stopping
+from primrosemill.published import over_http
 from primrosemill.telemetry import events
 
 HOUSEKEEPING_INTERVAL = 0.25  # seconds
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -14,6 +14,8 @@
 from primrosemill.proxy import plugs
 
 ANYWHERE: frozenset[str] = frozenset()
+FIRST_SERVER_ERROR = 500
+ERROR_ANSWER = outcomes.Unknown(outcomes.UnknownReason.ERROR_ANSWER)
 TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
 
 
@@ -58,6 +60,10 @@
         self._flights: list[flights.Flight] = []
         self._flying = False
         self._unknown: outcomes.Unknown | None = None
+        self._sent_ids: set[str] = set()
+        self._error_answer: tuple[flights.Flight, attempts.Answer] | None = (
+            None
+        )
 
     @property
     def unknown(self) -> outcomes.Unknown | None:
@@ -76,15 +82,15 @@
 
     async def run(self) -> Ending:
         """Make attempts until the request is resolved."""
-        excluded = ANYWHERE
+        failed_id: str | None = None
         while True:
             instance = self._take_trial()
             if instance is None:
                 instance = await self._context.dispatcher.acquire(
-                    self._wish(excluded)
+                    self._wish(failed_id)
                 )
             if isinstance(instance, plugs.Refused):
-                return self._unknown or self._refuse(instance)
+                return await self._end(self._unknown or self._refuse(instance))
             self._flying = True
             ending = await self._attempt(instance)
             self._flying = False
@@ -92,9 +98,22 @@
                 return ending
             given_up = await self._pause_after(ending)
             if given_up is not None:
-                return given_up
+                return await self._end(given_up)
             self._on_retry(ending)
-            excluded = frozenset({instance.id})
+            failed_id = instance.id
+
+    async def end_late(self) -> Ending:
+        """Conclude after the deadline has passed."""
+        late = plugs.Refused(self.late_reason)
+        return await self._end(self._unknown or late)
+
+    async def _end(self, ending: plugs.Refused | outcomes.Unknown) -> Ending:
+        """Conclude; an instance's own error tells the caller the most."""
+        if self._error_answer is None:
+            return ending
+        flight, answer = self._error_answer
+        await self._caller.relay(answer, flight.attempt)
+        return Relayed(answer.status)
 
     def _take_trial(self) -> documents.Instance | None:
         """Take an instance that should be tried, for a first attempt."""
@@ -125,15 +144,35 @@
             return refused._replace(reason=self.late_reason)
         return refused
 
-    def _wish(self, excluded: frozenset[str]) -> dispatch.Wish:
+    def _wish(self, failed_id: str | None = None) -> dispatch.Wish:
+        """Ask for a slot; not at the instance that failed last, if any.
+
+        Where the route bounds the instances that a request is sent to, it
+        goes to new ones as long as it may, then to those it was sent to.
+        """
         outgoing = self._context.outgoing
+        excluded = {failed_id} if failed_id is not None else set()
+        only = None
+        if self._most_instances:
+            excluded |= self._sent_ids
+            if len(self._sent_ids) >= self._most_instances:
+                excluded = set()
+                only = frozenset(self._sent_ids)
         return dispatch.Wish(
             self._context.caller_id,
             outgoing.deadline,
             outgoing.idempotent,
-            excluded,
+            frozenset(excluded),
+            only,
+            outgoing.route,
+            outgoing.arrived,
         )
 
+    @property
+    def _most_instances(self) -> int:
+        route = self._context.outgoing.route
+        return route.most_instances if route is not None else 0
+
     def _decide(
         self, failure: Failure
     ) -> plugs.Decision | plugs.Refused | outcomes.Unknown:
@@ -177,12 +216,23 @@
         flight = self._launch(instance)
         try:
             flight = await self._fly(flight)
-            if isinstance(flight.ending, attempts.Answer):
-                return await self._relay(flight, flight.ending)
-            return flight.ending
+            if not isinstance(flight.ending, attempts.Answer):
+                return flight.ending
+            if self._may_replace(flight.ending):
+                self._error_answer = flight, flight.ending
+                flight.delivered = True
+                return ERROR_ANSWER
+            return await self._relay(flight, flight.ending)
         finally:
             await self._land_all()
 
+    def _may_replace(self, answer: attempts.Answer) -> bool:
+        """Tell whether another instance may answer better."""
+        outgoing = self._context.outgoing
+        if not outgoing.dialect.repeat_errors or not outgoing.idempotent:
+            return False
+        return answer.whole and answer.status >= FIRST_SERVER_ERROR
+
     def _launch(self, instance: documents.Instance) -> flights.Flight:
         self._attempts += 1
         flight = flights.Flight(self._context, instance)
@@ -212,10 +262,13 @@
         )
 
     def _launch_hedge(self) -> flights.Flight | None:
+        sent = self._sent_ids | {each.instance.id for each in self._flights}
+        if self._most_instances and len(sent) >= self._most_instances:
+            return None
         if not self._retries.hedge_started(self._context.service):
             return None
-        excluded = frozenset(each.instance.id for each in self._flights)
-        instance = self._context.dispatcher.try_acquire(self._wish(excluded))
+        wish = self._wish()._replace(excluded=frozenset(sent))
+        instance = self._context.dispatcher.try_acquire(wish)
         return None if instance is None else self._launch(instance)
 
     async def _relay(
@@ -239,6 +292,8 @@
 
     async def _land(self, flight: flights.Flight) -> None:
         self._flights.remove(flight)
+        if flight.attempt.maybe_ran:
+            self._sent_ids.add(flight.instance.id)
         if isinstance(flight.ending, outcomes.Unknown):
             self._unknown = flight.ending
         elif flight.ending is None and flight.attempt.maybe_ran:
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -5,11 +5,11 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool as slot_pools
 from primrosemill.proxy import attempts
 from primrosemill.proxy import connections
-from primrosemill.proxy import dispatch
 from primrosemill.proxy import plugs
 
 CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
@@ -17,13 +17,54 @@
 CANCELLED_UNSENT = outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
 
 
+class Dispatcher(typing.Protocol):
+    """Grants the slots of one service; times are trio times."""
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        ...
+
+    def set_service(self, service: documents.Service) -> None:
+        """Take a new revision."""
+        ...
+
+    async def acquire(
+        self, wish: dispatch.Wish
+    ) -> documents.Instance | plugs.Refused:
+        """Take a slot, or wait for one as long as that makes sense."""
+        ...
+
+    def acquire_named(self, instance_id: str) -> documents.Instance | None:
+        """Take a slot of one instance for a trial, if it has one."""
+        ...
+
+    def try_acquire(self, wish: dispatch.Wish) -> documents.Instance | None:
+        """Take a slot if one is free now that nobody waits for."""
+        ...
+
+    def release(
+        self, instance_id: str, held: float, end: slot_pools.End
+    ) -> None:
+        """Give a slot back that was held for so many seconds."""
+        ...
+
+    def ramp_up(self) -> None:
+        """Let the shares of cold instances grow; called now and then."""
+        ...
+
+    def wake(self) -> None:
+        """Grant what slots are free to those who wait."""
+        ...
+
+
 class Context(typing.NamedTuple):
     """What all attempts of one request share."""
 
     service: str
     caller_id: str
     outgoing: attempts.Outgoing
-    dispatcher: dispatch.Dispatcher
+    dispatcher: Dispatcher
     pool: connections.Connections
     observer: plugs.Observer
 
@@ -45,6 +86,9 @@
             instance.id,
             trio.current_time(),
             context.outgoing.idempotent,
+            instance.boot,
+            context.outgoing.route.name if context.outgoing.route else "",
+            (context.outgoing.request_id or b"").decode("latin-1"),
         )
         context.observer.attempt_started(self._start)
 
@@ -67,6 +111,10 @@
         self._context.observer.attempt_ended(end)
 
     def _end(self) -> plugs.AttemptEnd:
+        end = self._typed_end()
+        return end._replace(load=self.attempt.load)
+
+    def _typed_end(self) -> plugs.AttemptEnd:
         elapsed = trio.current_time() - self._start.started
         ending = self.ending
         draining = self.attempt.draining
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -16,6 +16,10 @@
 TRANSFER_ENCODING = b"transfer-encoding"
 CONNECTION = b"connection"
 CLOSE = (CONNECTION, b"close")
+CONTENT_ENCODING = b"content-encoding"
+KEEP_ALIVE = b"keep-alive"
+IDENTITY = b"identity"
+IDLE_TIME = b"timeout="
 EMPTY = (CONTENT_LENGTH, b"0")
 CHUNKED = (TRANSFER_ENCODING, b"chunked")
 OUTCOME_ANSWERED = (OUTCOME, b"answered")
@@ -26,7 +30,7 @@
     {
         CONNECTION,
         TRANSFER_ENCODING,
-        b"keep-alive",
+        KEEP_ALIVE,
         b"proxy-authenticate",
         b"proxy-authorization",
         b"proxy-connection",
@@ -97,3 +101,21 @@
 def format_timeout(seconds: float) -> bytes:
     """Return the time left as a header value."""
     return f"{max(seconds, 0.0):.3f}".encode()
+
+
+def parse_idle_time(headers: asgi.Headers) -> float | None:
+    """Return how long a peer keeps an idle connection, in seconds."""
+    value = find(headers, KEEP_ALIVE)
+    if value is None:
+        return None
+    for part in value.lower().split(b","):
+        seconds = part.strip().removeprefix(IDLE_TIME)
+        if seconds.isdigit():
+            return float(seconds)
+    return None
+
+
+def is_encoded(headers: asgi.Headers) -> bool:
+    """Tell whether a body is in another encoding than its own bytes."""
+    value = find(headers, CONTENT_ENCODING)
+    return value is not None and value.strip().lower() not in (b"", IDENTITY)
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -9,11 +9,11 @@
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import evidence
+from primrosemill.fleet import interfaces
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import node
 from primrosemill.fleet import observations
-from primrosemill.fleet import interfaces
 from primrosemill.proxy import peer_counters
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import status
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -7,6 +7,7 @@
 import enum
 import typing
 
+from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
 
 RETRY_PAUSE = 0.005  # seconds
@@ -36,6 +37,9 @@
     instance_id: str
     started: float
     idempotent: bool
+    boot: int = 0
+    route: str = ""
+    request_id: str = ""
 
 
 class AttemptEnd(typing.NamedTuple):
@@ -52,6 +56,7 @@
     elapsed: float
     draining: bool = False
     abandoned: bool = False
+    load: balance.Load | None = None
 
 
 class Observer(typing.Protocol):
--- a/packages/published/src/primrosemill/published/over_http.py
+++ b/packages/published/src/primrosemill/published/over_http.py
@@ -7,8 +7,8 @@
 import expression
 import msgspec
 
-from primrosemill.published import bounded
 from primrosemill.fleet import interfaces
+from primrosemill.published import bounded
 
 READ_TIMEOUT = 2.0  # seconds for a whole answer
 WATCH_MARGIN = 2.0  # seconds that a watch may answer late
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -8,11 +8,11 @@
 from primrosemill.configuration import values
 from primrosemill.decisions import evidence
 from primrosemill.decisions import standings
+from primrosemill.fleet import interfaces
 from primrosemill.fleet import membership
 from primrosemill.fleet import messages
 from primrosemill.fleet import wire
 from primrosemill.measure import membership_network
-from primrosemill.fleet import interfaces
 from tests.builders import configuration
 
 FLEET = configuration.FLEET
--- a/tests/proxy/test_callers_page.py
+++ b/tests/proxy/test_callers_page.py
@@ -3,7 +3,7 @@
 import testtools
 
 from primrosemill.decisions import outcomes
-from primrosemill.proxy import callers
+from primrosemill.proxy import dialects
 
 PAGE = pathlib.Path("docs/callers.md")
 
@@ -24,8 +24,8 @@
 class CallersPageTest(testtools.TestCase):
     def test_the_page_names_each_refusal_and_its_status(self):
         expected = {
-            reason.value: callers.STATUS_BY_REFUSAL.get(
-                reason, callers.STATUS_UNAVAILABLE
+            reason.value: dialects.STATUS_BY_REFUSAL.get(
+                reason, dialects.STATUS_UNAVAILABLE
             )
             for reason in outcomes.RefusalReason
         }
--- a/tests/standins/test_command.py
+++ b/tests/standins/test_command.py
@@ -8,8 +8,8 @@
 import trio
 
 from primrosemill.configuration import files
-from primrosemill.published import bounded
 from primrosemill.fleet import interfaces
+from primrosemill.published import bounded
 from primrosemill.published import over_http
 from tests.builders import configuration as builders
 
