--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/entry.py
@@ -0,0 +1,56 @@
+"""Runs one entry VM on the users' platform until it is stopped."""
+
+import pathlib
+import random
+import sys
+
+import click
+import eliot
+import trio
+
+from primrosemill.cli import exits
+from primrosemill.platform import adapter
+from primrosemill.proxy import entry_settings
+from primrosemill.proxy import entry_vm
+from primrosemill.proxy import reloading
+from primrosemill.proxy import settings_faults
+from primrosemill.proxy import stopping
+from primrosemill.telemetry import output
+
+
+@click.command("entry", epilog=exits.HELP)
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    envvar="PRIMROSEMILL_SETTINGS",
+    type=click.Path(path_type=pathlib.Path),
+    help="The VM's INI file; see docs/settings.md.",
+)
+def command(path: pathlib.Path) -> None:
+    """Run an entry VM whose instances are discovered.
+
+    Its log goes to standard output, one JSON object a line. A first SIGTERM
+    or SIGINT stops it gracefully, a second one at once; SIGHUP reads the
+    settings again.
+    """
+    result = entry_settings.read(path)
+    if result.is_error():
+        exits.stop(
+            exits.Status.BAD_INPUT, map(settings_faults.describe, result.error)
+        )
+    eliot.add_destinations(output.BoundedOutput(sys.stdout.fileno()))
+    trio.run(_run, path, result.ok)
+
+
+async def _run(
+    path: pathlib.Path, settings: entry_settings.EntrySettings
+) -> None:
+    vm = entry_vm.EntryVm(
+        settings, adapter.make(settings.feed_address), random.Random()
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stopping.stop_on_signals, vm)
+        nursery.start_soon(reloading.follow, path, vm.reload)
+        await vm.run()
+        nursery.cancel_scope.cancel()
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -4,6 +4,7 @@
 
 from primrosemill.cli import addresses
 from primrosemill.cli import check
+from primrosemill.cli import entry
 from primrosemill.cli import exits
 from primrosemill.cli import proxy
 from primrosemill.cli import status
@@ -11,6 +12,7 @@
 
 COMMANDS = (
     proxy.command,
+    entry.command,
     check.command,
     status.command,
     addresses.command,
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -11,6 +11,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import avoidance
+from primrosemill.decisions import usual_times
 
 # A told load stands for what other VMs do there; it fades in this time, as
 # most requests that were counted have ended by then.
@@ -55,7 +56,7 @@
         "others",
         "others_at",
         "paused_until",
-        "starts_by_ticket",
+        "starts",
     )
 
     def __init__(self, instance: documents.Instance, now: float) -> None:
@@ -64,37 +65,30 @@
         self.others_at = now
         self.paused_until = 0.0
         self.cold_until = now + instance.cold_for
-        self.starts_by_ticket: dict[int, float] = {}
+        self.starts: list[float] = []
 
     def occupied(self, now: float) -> float:
         """Return the requests that the instance probably holds."""
         fade = 1.0 - (now - self.others_at) / LOAD_LIFETIME
-        return len(self.starts_by_ticket) + self.others * max(0.0, fade)
-
-
-class Chosen(typing.NamedTuple):
-    """An instance was taken; the ticket gives its slot back."""
-
-    instance: documents.Instance
-    ticket: int
-    trust: avoidance.Trust
-    occupied: float
+        return len(self.starts) + self.others * max(0.0, fade)
 
 
 class Balance:
     """Chooses among the instances of one service for one VM."""
 
     def __init__(
-        self, domain: str, generator: random.Random, usual_time: float
+        self,
+        domain: str,
+        generator: random.Random,
+        floor_share: float = FLOOR_SHARE,
     ) -> None:
         self.avoidance = avoidance.Avoidance()
-        self.floor_share = FLOOR_SHARE
-        self.usual_time = usual_time
+        self._floor_share = floor_share
+        self.usual_time = usual_times.FIRST_GUESS
         self._domain = domain
         self._generator = generator
         self._uses_by_id: dict[str, _Use] = {}
         self._led_ids: frozenset[str] = frozenset()
-        self._next_ticket = 0
 
     @property
     def size(self) -> int:
@@ -106,9 +100,12 @@
     @property
     def busy(self) -> int:
         """Return the number of requests that this VM has at instances."""
-        return sum(
-            len(use.starts_by_ticket) for use in self._uses_by_id.values()
-        )
+        return sum(len(use.starts) for use in self._uses_by_id.values())
+
+    def instance(self, instance_id: str) -> documents.Instance | None:
+        """Return an instance that is known now."""
+        use = self._uses_by_id.get(instance_id)
+        return None if use is None else use.instance
 
     def has_local(self, now: float) -> bool:
         """Tell whether the VM's own domain has an instance to trust."""
@@ -147,7 +144,7 @@
         """Take the instances that this VM should fill first."""
         self._led_ids = led_ids
 
-    def choose(self, need: Need, now: float) -> Chosen | None:
+    def choose(self, need: Need, now: float) -> documents.Instance | None:
         """Take a slot of the best instance, or None if all are full."""
         best: _Use | None = None
         best_rank: tuple[float, ...] = ()
@@ -161,32 +158,26 @@
                 best, best_rank = use, rank
         if best is None:
             return None
-        occupied = best.occupied(now)
-        self._next_ticket += 1
-        best.starts_by_ticket[self._next_ticket] = now
-        return Chosen(
-            best.instance,
-            self._next_ticket,
-            trust_by_id[best.instance.id],
-            occupied,
-        )
+        best.starts.append(now)
+        return best.instance
+
+    def release(self, instance_id: str, started: float) -> None:
+        """Give back a slot that was taken at about a time.
 
-    def release(self, instance_id: str, ticket: int) -> None:
-        """Give a slot back; an instance that is gone is no error."""
+        An instance that is gone is no error.
+        """
         use = self._uses_by_id.get(instance_id)
-        if use is not None:
-            use.starts_by_ticket.pop(ticket, None)
+        if use is None or not use.starts:
+            return
+        nearest = min(use.starts, key=lambda start: abs(start - started))
+        use.starts.remove(nearest)
 
     def note_load(self, instance_id: str, load: Load, now: float) -> None:
-        """Take what an instance told with an answer.
-
-        Call it before :meth:`release`: the request that was answered is
-        still among this VM's own.
-        """
+        """Take what an instance told with an answer."""
         use = self._uses_by_id.get(instance_id)
         if use is None:
             return
-        own = len(use.starts_by_ticket)
+        own = len(use.starts)
         use.others = float(max(0, load.running + load.waiting - own))
         use.others_at = now
 
@@ -216,7 +207,7 @@
             trust_by_id[instance_id] = trust
             if trust is avoidance.Trust.AVOIDED:
                 avoided.append(instance_id)
-        allowed = int((1.0 - self.floor_share) * len(self._uses_by_id))
+        allowed = int((1.0 - self._floor_share) * len(self._uses_by_id))
         if len(avoided) > allowed:
             avoided.sort(key=self.avoidance.failures)
             for instance_id in avoided[: len(avoided) - allowed]:
@@ -227,7 +218,7 @@
         self, use: _Use, trust: avoidance.Trust, now: float
     ) -> avoidance.Trust:
         """Avoid an instance that holds a request for far too long."""
-        oldest = next(iter(use.starts_by_ticket.values()), now)
+        oldest = use.starts[0] if use.starts else now
         limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
         if now - oldest > limit:
             return avoidance.Trust.AVOIDED
@@ -247,7 +238,7 @@
             return False
         if trust is avoidance.Trust.AVOIDED:
             return False
-        if trust is avoidance.Trust.ON_TRIAL and use.starts_by_ticket:
+        if trust is avoidance.Trust.ON_TRIAL and use.starts:
             # One request at a time tries it.
             return False
         return use.occupied(now) + 1.0 <= instance.slots + PART_LOAD
--- a/packages/decisions/src/primrosemill/decisions/hedging.py
+++ b/packages/decisions/src/primrosemill/decisions/hedging.py
@@ -18,7 +18,7 @@
 
 def affordable(budget: retry_budget.RetryBudget) -> bool:
     """Tell whether the budget has a hedge to spare beside retries."""
-    return budget.left >= 1.0 + RESERVED
+    return budget.left >= 1.0 + min(RESERVED, budget.reserve / 2)
 
 
 class Hedging:
--- a/packages/decisions/src/primrosemill/decisions/retry_budget.py
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -19,6 +19,12 @@
         self.reserve = reserve
         self._tokens = reserve
 
+    def set_bounds(self, share: float, reserve: float) -> None:
+        """Take other bounds; what is left never exceeds the reserve."""
+        self.share = share
+        self.reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
     @property
     def left(self) -> float:
         """Return the attempts that may still be spent."""
--- /dev/null
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -0,0 +1,76 @@
+"""Reads and writes the platform's headers as the proxy's dialect."""
+
+import math
+
+from primrosemill.decisions import balance
+from primrosemill.decisions import outcomes
+from primrosemill.platform import names
+from primrosemill.proxy import asgi
+from primrosemill.proxy import dialects
+from primrosemill.proxy import headers
+
+MILLISECONDS = 1_000.0
+STATUS_OTHER_INSTANCE = 421
+LEAST_TIME_LEFT = 1  # milliseconds; zero could be read as no limit
+# A refusal is a promise that the request has not run, and only some statuses
+# make it: a deadline that passed in the queue is told by one of them.
+STATUS_BY_REFUSAL = dialects.STATUS_BY_REFUSAL | {
+    outcomes.RefusalReason.DEADLINE: dialects.STATUS_UNAVAILABLE,
+}
+
+
+def parse_time_left(value: bytes | None, ceiling: float) -> float:
+    """Return the caller's time left in seconds, at most the ceiling."""
+    if value is None:
+        return ceiling
+    try:
+        milliseconds = float(value)
+    except ValueError:
+        return ceiling
+    if not math.isfinite(milliseconds) or milliseconds < 0:
+        return ceiling
+    return min(milliseconds / MILLISECONDS, ceiling)
+
+
+def format_time_left(seconds: float) -> bytes:
+    """Return the time left as a header value."""
+    milliseconds = max(LEAST_TIME_LEFT, int(seconds * MILLISECONDS))
+    return str(milliseconds).encode()
+
+
+def read_not_run(
+    status: int, lines: asgi.Headers
+) -> outcomes.NotRunReason | None:
+    """Return why an instance did not run a request, or None if it may have."""
+    if status == STATUS_OTHER_INSTANCE:
+        return outcomes.NotRunReason.OTHER_INSTANCE
+    if headers.find(lines, names.NOT_RUN) is not None:
+        return outcomes.NotRunReason.SHED
+    return None
+
+
+def read_load(lines: asgi.Headers) -> balance.Load | None:
+    """Return the load that an instance told; None if none or damaged."""
+    value = headers.find(lines, names.LOAD)
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return balance.Load(*(int(part) for part in parts))
+
+
+DIALECT = dialects.Dialect(
+    timeout=names.TIME_LEFT,
+    parse_timeout=parse_time_left,
+    format_timeout=format_time_left,
+    read_not_run=read_not_run,
+    read_load=read_load,
+    request_id=names.REQUEST_ID,
+    expected_instance=names.EXPECTED_INSTANCE,
+    status_by_refusal=STATUS_BY_REFUSAL,
+    whole_seconds=False,
+    plain_answers=True,
+    repeat_errors=True,
+    hold_unsized=True,
+)
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -0,0 +1,409 @@
+"""Carries requests to the balance of each service, and outcomes back.
+
+The decisions are in :mod:`primrosemill.decisions.balance`, ``avoidance`` and
+``waiting_line``; here each grant goes to the task that waits for it, and what
+an attempt met changes the trust in its instance.
+"""
+
+import functools
+import random
+import typing
+
+import trio
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import avoidance
+from primrosemill.decisions import balance
+from primrosemill.decisions import dispatch
+from primrosemill.decisions import outcomes
+from primrosemill.decisions import pool
+from primrosemill.decisions import standings
+from primrosemill.decisions import usual_times
+from primrosemill.decisions import waiting_line
+from primrosemill.proxy import alarm as alarms
+from primrosemill.proxy import plugs
+
+# A large body waits for an instance of the own failure domain this long, as
+# a share of its route's target; then it crosses.
+LOCAL_PATIENCE = 0.2
+FIRST_SERVER_ERROR = 500
+NOT_FAILURES = frozenset(
+    {
+        outcomes.NotRunReason.SHED,
+        outcomes.NotRunReason.CANCELLED_UNSENT,
+        outcomes.NotRunReason.CLOSED_UNSENT,
+    }
+)
+# The path to the instance failed, which says nothing to other VMs.
+PATH_FAILURES = frozenset(
+    {
+        outcomes.NotRunReason.CONNECT_TIMEOUT,
+        outcomes.NotRunReason.CONNECT_FAILED,
+    }
+)
+STATES_BY_TRUST = {
+    avoidance.Trust.TRUSTED: standings.State.IN_ROTATION,
+    avoidance.Trust.ON_TRIAL: standings.State.TRIAL,
+    avoidance.Trust.LAST: standings.State.RANKED_LAST,
+    avoidance.Trust.AVOIDED: standings.State.AVOIDED,
+}
+Grant = documents.Instance | plugs.Refused
+
+
+class Judgement(typing.NamedTuple):
+    """What an attempt said of its instance.
+
+    ``failed`` is None where it says nothing; ``shared`` tells that peers
+    should know.
+    """
+
+    failed: bool | None
+    shared: bool = False
+
+
+class Changed(typing.NamedTuple):
+    """The trust of this VM in an instance changed, and why."""
+
+    service: str
+    boot: int
+    verdict: avoidance.Verdict
+    cause: str
+    request_id: str = ""
+    shared: bool = False
+
+
+OnChange = typing.Callable[[Changed], None]
+
+
+class _Waiter:
+    """A task in the line, and what it was told."""
+
+    def __init__(self, wish: dispatch.Wish) -> None:
+        self.wish = wish
+        self.told = trio.Event()
+        self.grant: Grant | None = None
+
+    def tell(self, grant: Grant) -> None:
+        """End the wait."""
+        self.grant = grant
+        self.told.set()
+
+
+class Balancer:
+    """Grants the slots of one service, and queues who finds none."""
+
+    def __init__(
+        self,
+        service: documents.Service,
+        domain: str,
+        generator: random.Random,
+        alarm: alarms.Alarm,
+        floor_share: float = balance.FLOOR_SHARE,
+    ) -> None:
+        self.name = service.name
+        self.balance = balance.Balance(domain, generator, floor_share)
+        self.times = usual_times.UsualTimes()
+        self._line = waiting_line.WaitingLine()
+        self._alarm = alarm
+        self._waiters_by_ticket: dict[int, _Waiter] = {}
+        self._next_ticket = 0
+        self._last_progress = trio.current_time()
+        self.set_service(service)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._line)
+
+    def set_service(self, service: documents.Service) -> None:
+        """Take the instances that are known now."""
+        self.balance.set_instances(service.instances, trio.current_time())
+        self.wake()
+
+    def set_led(self, led_ids: frozenset[str]) -> None:
+        """Take the instances that this VM fills first."""
+        self.balance.set_led(led_ids)
+
+    async def acquire(self, wish: dispatch.Wish) -> Grant:
+        """Take a slot, or wait for one as long as that makes sense."""
+        now = trio.current_time()
+        route = wish.route
+        self._line.note_arrival(route.priority, now)
+        if not self.balance.size:
+            return plugs.Refused(outcomes.RefusalReason.NO_INSTANCE)
+        if not self._line:
+            instance = self._choose(wish, now)
+            if instance is not None:
+                return instance
+        self._next_ticket += 1
+        waiter = waiting_line.Waiter(
+            self._next_ticket,
+            route.priority,
+            wish.arrived + (route.target or route.deadline),
+            wish.deadline,
+            self.times.usual(route.name),
+        )
+        refused = self._line.join(waiter, now, self._drain_rate(now))
+        if refused is not None:
+            return plugs.Refused(refused.reason, refused.retry_after)
+        return await self._wait(waiter, _Waiter(wish))
+
+    async def _wait(self, waiter: waiting_line.Waiter, task: _Waiter) -> Grant:
+        self._waiters_by_ticket[waiter.ticket] = task
+        # An urgent request may go at once past others that wait.
+        self.wake()
+        try:
+            with trio.move_on_at(waiter.deadline):
+                await task.told.wait()
+        except trio.Cancelled:
+            self._leave(waiter.ticket, task)
+            raise
+        if task.grant is None:
+            self._leave(waiter.ticket, task)
+            now = trio.current_time()
+            return plugs.Refused(
+                outcomes.RefusalReason.DEADLINE,
+                self._line.retry_after(self._drain_rate(now)),
+            )
+        return task.grant
+
+    def acquire_named(self, instance_id: str) -> documents.Instance | None:
+        """Grant nothing by name; trials go by the choice itself."""
+        return None
+
+    def try_acquire(self, wish: dispatch.Wish) -> documents.Instance | None:
+        """Take a slot if one is free now that nobody waits for."""
+        if self._line:
+            return None
+        return self._choose(wish, trio.current_time())
+
+    def release(self, instance_id: str, held: float, end: pool.End) -> None:
+        """Give a slot back and grant it to the next request in turn."""
+        now = trio.current_time()
+        self._last_progress = now
+        self.balance.release(instance_id, now - held)
+        if end is pool.End.SHED:
+            self.balance.note_shed(instance_id, now)
+        self.wake()
+
+    def ramp_up(self) -> None:
+        """Do nothing: a cold instance counts as busier by itself."""
+
+    def wake(self) -> None:
+        """Grant free slots in order, and refuse whom none can serve."""
+        if not self._line:
+            return
+        now = trio.current_time()
+        for waiter in self._line.in_order(now):
+            task = self._waiters_by_ticket[waiter.ticket]
+            instance = self._choose(task.wish, now)
+            if instance is None:
+                continue
+            self._line.leave(waiter.ticket)
+            del self._waiters_by_ticket[waiter.ticket]
+            task.tell(instance)
+        drain_rate = self._drain_rate(now)
+        for waiter, _wait in self._line.hopeless(now, drain_rate):
+            task = self._waiters_by_ticket.pop(waiter.ticket)
+            task.tell(
+                plugs.Refused(
+                    outcomes.RefusalReason.DEADLINE,
+                    self._line.retry_after(drain_rate),
+                )
+            )
+        if self._line:
+            self._alarm.set(self.balance.next_chance(now))
+
+    def _choose(
+        self, wish: dispatch.Wish, now: float
+    ) -> documents.Instance | None:
+        route = wish.route
+        local = False
+        if route.large_bodies and wish.only is None:
+            patience = LOCAL_PATIENCE * (route.target or route.deadline)
+            waited = now - wish.arrived
+            local = waited < patience and self.balance.has_local(now)
+        need = balance.Need(wish.idempotent, wish.excluded, wish.only, local)
+        self.balance.usual_time = self.times.overall
+        return self.balance.choose(need, now)
+
+    def _drain_rate(self, now: float) -> float | None:
+        """Return the requests a second that leave the slots held here."""
+        busy = self.balance.busy
+        if not busy:
+            return None
+        quiet = now - self._last_progress
+        return busy / max(self.times.overall, quiet)
+
+    def _leave(self, ticket: int, task: _Waiter) -> None:
+        """Take a task out of the line, or give its slot to another."""
+        self._waiters_by_ticket.pop(ticket, None)
+        self._line.leave(ticket)
+        if isinstance(task.grant, documents.Instance):
+            self.release(task.grant.id, 0.0, pool.End.FAILED)
+
+
+class Balancers:
+    """The balancers of all services; learns of every attempt."""
+
+    def __init__(
+        self,
+        domain: str,
+        generator: random.Random,
+        on_change: OnChange,
+        floor_share: float = balance.FLOOR_SHARE,
+    ) -> None:
+        self._domain = domain
+        self._floor_share = floor_share
+        self._generator = generator
+        self._on_change = on_change
+        self._balancers_by_service: dict[str, Balancer] = {}
+
+    def make(
+        self, service: documents.Service, alarm: alarms.Alarm
+    ) -> Balancer:
+        """Return a new balancer, as the application asks for one."""
+        made = Balancer(
+            service, self._domain, self._generator, alarm, self._floor_share
+        )
+        self._balancers_by_service[service.name] = made
+        return made
+
+    def set_led(self, service: str, led_ids: frozenset[str]) -> None:
+        """Take the instances of a service that this VM fills first."""
+        balancer = self._balancers_by_service.get(service)
+        if balancer is not None:
+            balancer.set_led(led_ids)
+
+    def take_suspicion(
+        self, service: str, instance_id: str, boot: int, seconds: float
+    ) -> None:
+        """Take the word of a peer that an instance has just failed."""
+        balancer = self._balancers_by_service.get(service)
+        if balancer is None:
+            return
+        instance = balancer.balance.instance(instance_id)
+        if instance is None or instance.boot != boot:
+            return
+        verdict = balancer.balance.avoidance.told(
+            instance_id, seconds, trio.current_time()
+        )
+        if verdict is not None:
+            self._on_change(Changed(service, instance.boot, verdict, "peer"))
+
+    def standing(
+        self, service: str, instance: documents.Instance
+    ) -> standings.Standing:
+        """Return what this VM thinks of an instance, for operators."""
+        balancer = self._balancers_by_service.get(service)
+        if instance.leaving:
+            return standings.Standing(standings.State.DRAINING)
+        if balancer is None:
+            return standings.HEALTHY
+        held = balancer.balance.avoidance
+        trust = held.trust(instance.id, trio.current_time())
+        return standings.Standing(
+            STATES_BY_TRUST[trust], held.failures(instance.id)
+        )
+
+    def due_trial(self, service: str, now: float) -> str | None:
+        """Return None: trials go by the choice itself."""
+        return None
+
+    def attempt_started(self, start: plugs.AttemptStart) -> None:
+        """Learn nothing; the balance knows what is in flight."""
+
+    def attempt_answered(self, start: plugs.AttemptStart, status: int) -> None:
+        """Learn nothing before the answer is whole."""
+
+    def attempt_ended(self, end: plugs.AttemptEnd) -> None:
+        """Change the trust in an instance by how an attempt ended."""
+        balancer = self._balancers_by_service.get(end.start.service)
+        if balancer is None:
+            return
+        now = trio.current_time()
+        start = end.start
+        instance = balancer.balance.instance(start.instance_id)
+        if instance is None or instance.boot != start.boot:
+            return
+        if end.load is not None:
+            balancer.balance.note_load(instance.id, end.load, now)
+        judged = judge(end.outcome, end)
+        if judged.failed is None:
+            return
+        verdict = self._weigh(balancer, end, judged, now)
+        if verdict is not None:
+            cause = _cause(end.outcome)
+            self._on_change(
+                Changed(
+                    start.service,
+                    start.boot,
+                    verdict,
+                    cause,
+                    start.request_id,
+                    judged.shared,
+                )
+            )
+        balancer.wake()
+
+    def _weigh(
+        self,
+        balancer: Balancer,
+        end: plugs.AttemptEnd,
+        judged: Judgement,
+        now: float,
+    ) -> avoidance.Verdict | None:
+        held = balancer.balance.avoidance
+        start = end.start
+        if judged.failed:
+            return held.failed(start.instance_id, now)
+        ratio = None
+        if balancer.times.known(start.route):
+            ratio = end.elapsed / balancer.times.usual(start.route)
+        balancer.times.note(start.route, end.elapsed)
+        return held.succeeded(start.instance_id, ratio, now)
+
+
+@functools.singledispatch
+def judge(outcome: outcomes.Outcome, end: plugs.AttemptEnd) -> Judgement:
+    """Return what an attempt's outcome says of its instance."""
+    raise NotImplementedError(type(outcome))
+
+
+@judge.register
+def _judge_answer(
+    outcome: outcomes.Answered, end: plugs.AttemptEnd
+) -> Judgement:
+    failed = outcome.status >= FIRST_SERVER_ERROR
+    return Judgement(failed, failed)
+
+
+@judge.register
+def _judge_not_run(
+    outcome: outcomes.NotRun, end: plugs.AttemptEnd
+) -> Judgement:
+    if outcome.reason in NOT_FAILURES:
+        return Judgement(None)
+    return Judgement(True, outcome.reason not in PATH_FAILURES)
+
+
+@judge.register
+def _judge_unknown(
+    outcome: outcomes.Unknown, end: plugs.AttemptEnd
+) -> Judgement:
+    if not end.abandoned:
+        return Judgement(True, True)
+    # A request that waited long before has little time left to be answered.
+    if end.timed_out and end.elapsed >= balance.LEAST_STALL:
+        return Judgement(True, True)
+    return Judgement(None)
+
+
+@functools.singledispatch
+def _cause(outcome: outcomes.Outcome) -> str:
+    return outcome.reason.value
+
+
+@_cause.register
+def _cause_of_answer(outcome: outcomes.Answered) -> str:
+    return f"status_{outcome.status}"
--- a/packages/proxy/src/primrosemill/proxy/budgets.py
+++ b/packages/proxy/src/primrosemill/proxy/budgets.py
@@ -12,12 +12,26 @@
 
 
 class BudgetedRetries:
-    """Retries and hedges within a budget for each service."""
+    """Retries and hedges within a budget for each service.
 
-    def __init__(self) -> None:
+    With ``waits_for_budget`` a request that was shed waits until the budget
+    has filled again; else it is refused at once.
+    """
+
+    def __init__(self, waits_for_budget: bool = True) -> None:
+        self._waits_for_budget = waits_for_budget
+        self._share = retry_budget.RETRY_SHARE
+        self._reserve = retry_budget.RESERVE
         self._budgets_by_service: dict[str, retry_budget.RetryBudget] = {}
         self._hedging_by_service: dict[str, hedging.Hedging] = {}
 
+    def set_bounds(self, share: float, reserve: float) -> None:
+        """Take this VM's part of the attempts that the fleet may make."""
+        self._share = share
+        self._reserve = reserve
+        for budget in self._budgets_by_service.values():
+            budget.set_bounds(share, reserve)
+
     def request_started(self, service: str, now: float) -> None:
         """Count a request, which earns a share of a retry."""
         self._budget(service).earn()
@@ -28,7 +42,11 @@
 
     def decide(self, facts: plugs.RetryFacts) -> plugs.Decision:
         """Decide after an attempt that brought no answer."""
-        request = retries.Request(facts.idempotent, facts.deadline)
+        request = retries.Request(
+            facts.idempotent,
+            facts.deadline,
+            waits_for_budget=self._waits_for_budget,
+        )
         last = retries.note(retries.History(), facts.outcome)
         history = last._replace(attempts=facts.attempts)
         budget = self._budget(facts.service)
@@ -55,9 +73,11 @@
         return hedging.affordable(budget) and budget.spend()
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
-        return self._budgets_by_service.setdefault(
-            service, retry_budget.RetryBudget()
-        )
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = retry_budget.RetryBudget(self._share, self._reserve)
+            self._budgets_by_service[service] = budget
+        return budget
 
     def _hedging(self, service: str) -> hedging.Hedging:
         return self._hedging_by_service.setdefault(service, hedging.Hedging())
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/entry_settings.py
@@ -0,0 +1,145 @@
+"""Reads the settings of an entry VM whose instances are discovered."""
+
+import pathlib
+import typing
+
+import expression
+
+from primrosemill.configuration import checks
+from primrosemill.proxy import settings as proxy_settings
+from primrosemill.proxy import settings_faults as faults
+from primrosemill.proxy import settings_schema as schema
+
+
+class EntrySettings(typing.NamedTuple):
+    """What an entry VM must know before it reads the feed.
+
+    Times are in seconds.
+    """
+
+    fleet: str
+    vm_id: str
+    domain: str
+    feed_address: str
+    caller_address: str
+    ready_address: str
+    directory_address: str
+    peer_address: str
+    admin_address: str
+    first_peers: tuple[str, ...] = ()
+    peer_key: bytes = b""
+    answer_lifetime: float = 1.0
+    stop_seconds: float = 6.0
+    floor_share: float = 0.7
+    retry_share: float = 0.2
+    retry_window: float = 10.0
+    retry_slack: float = 0.0
+
+    def vm_settings(self) -> proxy_settings.Settings:
+        """Return the settings in the form that the fleet's parts read."""
+        ip, caller_port = checks.split_address(self.caller_address)
+        return proxy_settings.Settings(
+            self.fleet,
+            self.vm_id,
+            ip,
+            self.domain,
+            self.feed_address,
+            caller_port,
+            checks.split_address(self.admin_address)[1],
+            checks.split_address(self.peer_address)[1],
+            self.first_peers,
+            self.peer_key,
+            stop_seconds=self.stop_seconds,
+        )
+
+
+Result = expression.Result[EntrySettings, tuple[faults.Fault, ...]]
+
+
+def _address(name: str, field: str, meaning: str) -> schema.Key:
+    return schema.Key("listen", name, field, schema.Address(), None, meaning)
+
+
+KEYS = (
+    *(key for key in schema.KEYS if key.field in ("fleet", "vm_id", "domain")),
+    schema.Key(
+        "feed",
+        "address",
+        "feed_address",
+        schema.Address(),
+        None,
+        "Where instances and routes are published.",
+    ),
+    _address("callers", "caller_address", "Where callers send requests."),
+    _address("ready", "ready_address", "Where readiness is told."),
+    _address(
+        "directory",
+        "directory_address",
+        "Where callers ask which VMs to use.",
+    ),
+    _address("peers", "peer_address", "Where other VMs of the fleet send."),
+    _address("admin", "admin_address", "Health, metrics and status."),
+    *(key for key in schema.KEYS if key.section == "peers"),
+    schema.Key(
+        "limits",
+        "answer_seconds",
+        "answer_lifetime",
+        schema.Seconds(0.1, 60.0),
+        "1",
+        "How long callers may keep an answer of the directory.",
+    ),
+    schema.Key(
+        "limits",
+        "stop_seconds",
+        "stop_seconds",
+        schema.Seconds(1.0, 3_600.0),
+        "6",
+        "How long after SIGTERM the process may still run.",
+    ),
+    schema.Key(
+        "limits",
+        "floor_share",
+        "floor_share",
+        schema.Number(0.0, 1.0),
+        "0.7",
+        "The share of a service's instances that stays in use.",
+    ),
+    schema.Key(
+        "retries",
+        "share",
+        "retry_share",
+        schema.Number(0.0, 10.0),
+        "0.2",
+        "Attempts beyond the first, as a share of requests over the fleet.",
+    ),
+    schema.Key(
+        "retries",
+        "window_seconds",
+        "retry_window",
+        schema.Seconds(0.1, 3_600.0),
+        "10",
+        "The time over which attempts are counted.",
+    ),
+    schema.Key(
+        "retries",
+        "slack",
+        "retry_slack",
+        schema.Number(0.0, 1_000_000.0),
+        "0",
+        "Attempts in a window beside the share, over the fleet.",
+    ),
+)
+
+
+def parse(text: str, file_name: str) -> Result:
+    """Return the settings in a text, or every fault that it has."""
+    return proxy_settings.parse_keys(text, file_name, KEYS).map(
+        lambda values_by_field: EntrySettings(**values_by_field)
+    )
+
+
+def read(path: pathlib.Path) -> Result:
+    """Return the settings in a file, or every fault that it has."""
+    return proxy_settings.read_text(path).bind(
+        lambda text: parse(text, str(path))
+    )
--- /dev/null
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -0,0 +1,438 @@
+"""Runs an entry VM whose instances are discovered through a feed."""
+
+import random
+
+import prometheus_client
+import trio
+
+from primrosemill.configuration import checks
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import entry_points
+from primrosemill.decisions import homes
+from primrosemill.fleet import members
+from primrosemill.fleet import messages
+from primrosemill.fleet import mirror
+from primrosemill.fleet import node
+from primrosemill.proxy import adapters
+from primrosemill.proxy import admin
+from primrosemill.proxy import application
+from primrosemill.proxy import asgi
+from primrosemill.proxy import balancing
+from primrosemill.proxy import budgets
+from primrosemill.proxy import collector
+from primrosemill.proxy import counters
+from primrosemill.proxy import entry_settings
+from primrosemill.proxy import peers
+from primrosemill.proxy import plugs
+from primrosemill.proxy import server
+from primrosemill.proxy import status
+from primrosemill.telemetry import events
+
+HOUSEKEEPING_INTERVAL = 0.25  # seconds
+VIEW_INTERVAL = 0.25  # seconds between looks at the members
+# Of the time for a stop: so long requests are taken as before, because
+# callers hold old answers; then connections end.
+SERVE_SHARE = 0.5
+# Of the time for a stop that is left at its end for the process to exit.
+EXIT_SHARE = 0.08
+# Of the fleet's retry budget; the views of its size differ for a moment.
+BUDGET_SHARE = 0.8
+SUSPICIONS_WAITING = 64  # that were not sent yet; the oldest are dropped
+TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
+
+
+class EntryVm:
+    """Carries facts to the decisions and their results to the network."""
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        adapter: adapters.Adapter,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._adapter = adapter
+        self._own = homes.Vm(settings.vm_id, settings.domain)
+        counts = counters.Counters(prometheus_client.CollectorRegistry())
+        self._balancers = balancing.Balancers(
+            settings.domain,
+            generator,
+            self._note_trust,
+            settings.floor_share,
+        )
+        self._retries = budgets.BudgetedRetries(waits_for_budget=False)
+        self._application = application.Application(
+            generator,
+            plugs.Plugs(plugs.AdmitAll(), self._balancers, self._retries),
+            counts,
+            dialect=adapter.dialect,
+            make_dispatcher=self._balancers.make,
+        )
+        self._callers = server.Server(
+            self._application, self._application.note_failure
+        )
+        self._ready = server.Server(self._answer_readiness)
+        self._directory = server.Server(self._answer_directions)
+        self._admin = server.Server(
+            admin.Admin(self._state, self.read_status, counts.registry)
+        )
+        self.peers = peers.Peers(
+            settings.vm_settings(),
+            node.Platform(None, source=adapter.source),
+            _ignore_document,
+            counts.peers,
+            generator,
+            feed_hooks=peers.FeedHooks(self._note_change, self._hear),
+        )
+        self._document = documents.empty_document(settings.fleet)
+        self._view = entry_points.View((), 0)
+        self._points: tuple[homes.Vm, ...] = ()
+        self._leaving = False
+        self._scope = trio.CancelScope()
+        self._send_suspicions, self._suspicions = trio.open_memory_channel[
+            messages.Suspicion
+        ](SUSPICIONS_WAITING)
+
+    async def run(self) -> None:
+        """Serve until stopped; callers once there are routes."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                settings = self._settings
+                await _listen(nursery, self._admin, settings.admin_address)
+                await _listen(nursery, self._ready, settings.ready_address)
+                await _listen(
+                    nursery, self._directory, settings.directory_address
+                )
+                await nursery.start(self.peers.run)
+                await self.peers.node.wait_until_in_force()
+                await _listen(nursery, self._callers, settings.caller_address)
+                nursery.start_soon(self._keep_house)
+                nursery.start_soon(self._application.keep_time)
+                nursery.start_soon(self._keep_view)
+                nursery.start_soon(self._tell_suspicions)
+                await self.peers.node.announce_serving()
+                collector.settle()
+                self._announce()
+        self._application.close()
+
+    async def stop(self, cause: str) -> None:
+        """Leave: serve who holds an old answer, finish, then end run().
+
+        What is still in flight near the end of the time is cut off.
+        """
+        started = trio.current_time()
+        allowed = self._settings.stop_seconds
+        self._leaving = True
+        self._application.closing = True
+        events.emit(
+            events.VM_LEAVING,
+            vm_id=self._settings.vm_id,
+            signal=cause,
+            serve_seconds=SERVE_SHARE * allowed,
+        )
+        await self.peers.node.announce_leaving()
+        await trio.sleep(SERVE_SHARE * allowed)
+        end = started + (1.0 - EXIT_SHARE) * allowed
+        with trio.move_on_at(end) as scope:
+            await self._callers.drain()
+        if scope.cancelled_caught:
+            self.stop_at_once("time over")
+            return
+        await self.peers.node.announce_gone()
+        events.emit(events.VM_STOPPED, vm_id=self._settings.vm_id)
+        self._scope.cancel()
+
+    def stop_at_once(self, cause: str) -> None:
+        """End run() now, whatever is in flight."""
+        events.emit(
+            events.VM_STOP_CUT_SHORT,
+            vm_id=self._settings.vm_id,
+            requests_in_flight=self._application.in_flight,
+            cause=cause,
+        )
+        self._scope.cancel()
+
+    def reload(
+        self, settings: entry_settings.EntrySettings, cause: str
+    ) -> None:
+        """Take settings that may change while the VM runs."""
+        self.peers.node.set_first_peers(
+            peers.first_peers(settings.first_peers)
+        )
+        events.emit(
+            events.SETTINGS_RELOADED,
+            cause=cause,
+            first_peers=list(settings.first_peers),
+        )
+
+    def read_status(self) -> status.Status:
+        """Return what the admin port tells."""
+        services = [
+            status.describe_service(
+                service,
+                self._application.waiting(service.name),
+                [vm.id for vm in self._points],
+                self._balancers,
+            )
+            for service in self._document.services_by_name.values()
+        ]
+        return status.Status(
+            vm_id=self._settings.vm_id,
+            fleet=self._settings.fleet,
+            domain=self._settings.domain,
+            state=self._state().value,
+            requests_in_flight=self._application.in_flight,
+            configuration=status.ConfigurationStatus(
+                version=self._document.version, digest=""
+            ),
+            members=self.peers.members(),
+            services=services,
+        )
+
+    def _announce(self) -> None:
+        events.emit(
+            events.VM_STARTED,
+            vm_id=self._settings.vm_id,
+            caller_port=checks.split_address(self._settings.caller_address)[1],
+            admin_port=checks.split_address(self._settings.admin_address)[1],
+        )
+
+    def _state(self) -> status.VmState:
+        if self._leaving:
+            return status.VmState.LEAVING
+        if self._document.routes:
+            return status.VmState.SERVING
+        return status.VmState.STARTING
+
+    def _is_ready(self) -> bool:
+        return self._state() is status.VmState.SERVING
+
+    async def _answer_readiness(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        reply = self._adapter.answer_readiness(scope["path"], self._is_ready)
+        await asgi.respond(send, *reply)
+
+    async def _answer_directions(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        reply = self._adapter.answer_directions(
+            scope["path"], scope["query_string"], self._direct
+        )
+        await asgi.respond(send, *reply)
+
+    def _direct(
+        self, question: adapters.Question
+    ) -> adapters.Directions | None:
+        """Return the entry points for a caller; None while unknown."""
+        domain = question.domain or self._own.domain
+        points = entry_points.entry_points(self._view, domain)
+        if not points:
+            return None
+        address_by_id = self._address_by_id()
+        addresses = tuple(
+            address_by_id[vm.id] for vm in points if vm.id in address_by_id
+        )
+        return adapters.Directions(addresses, self._settings.answer_lifetime)
+
+    def _address_by_id(self) -> dict[str, str]:
+        """Return where callers reach each VM; ports are the same on all."""
+        own = self._settings.caller_address
+        port = own.rpartition(":")[2]
+        found = {self._own.id: own}
+        for member in self.peers.present():
+            found[member.entry.vm_id] = f"{member.entry.ip}:{port}"
+        return found
+
+    def _note_change(
+        self, applied: mirror.Applied, source: str, now: float
+    ) -> None:
+        """Put what the feed told in force."""
+        _log_changes(applied, source)
+        held = self.peers.node.follower.mirror
+        if applied.older_routing is not None:
+            events.emit(
+                events.ROUTING_OLDER,
+                version=held.routing.version,
+                offered=applied.older_routing,
+                source=source,
+            )
+        if held.routing is None:
+            return
+        document = build_document(self._settings.fleet, held, now)
+        routing_changed = document.version != self._document.version
+        self._document = document
+        self._application.body_limit = held.routing.bounds.body_size
+        self._callers.idle_lifetime = held.routing.bounds.idle_time
+        self._application.set_document(document)
+        self._lead()
+        if routing_changed:
+            collector.spare_new()
+            events.emit(
+                events.ROUTING_IN_FORCE,
+                version=document.version,
+                revision=held.revision,
+                routes=len(document.routes),
+                services=len(document.services_by_name),
+                source=source,
+            )
+
+    def _hear(self, suspicion: messages.Suspicion, domain: str) -> None:
+        """Take the suspicion of a peer in the own failure domain."""
+        if domain == self._own.domain:
+            self._balancers.take_suspicion(
+                suspicion.service,
+                suspicion.instance_id,
+                suspicion.boot,
+                suspicion.seconds,
+            )
+
+    def _note_trust(self, changed: balancing.Changed) -> None:
+        verdict = changed.verdict
+        events.emit(
+            events.TRUST_CHANGED,
+            service=changed.service,
+            instance_id=verdict.instance_id,
+            trust=verdict.trust.name.lower(),
+            seconds=round(verdict.seconds, 2),
+            failures=round(verdict.failures, 2),
+            cause=changed.cause,
+            request_id=changed.request_id,
+        )
+        if not changed.shared:
+            return
+        suspicion = messages.Suspicion(
+            changed.service,
+            verdict.instance_id,
+            changed.boot,
+            verdict.seconds,
+        )
+        try:
+            self._send_suspicions.send_nowait(suspicion)
+        except trio.WouldBlock:
+            # The peers will find out for themselves.
+            return
+
+    async def _tell_suspicions(self) -> None:
+        async for suspicion in self._suspicions:
+            await self.peers.node.tell_suspicion(suspicion)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_INTERVAL)
+            self._application.keep_house()
+
+    async def _keep_view(self) -> None:
+        while True:
+            self._lead()
+            await trio.sleep(VIEW_INTERVAL)
+
+    def _lead(self) -> None:
+        """Work out the entry points, and what this VM leads and may spend."""
+        vms = [] if self._leaving else [self._own]
+        for member in self.peers.present():
+            if member.state in TAKES_CALLERS:
+                entry = member.entry
+                vms.append(homes.Vm(entry.vm_id, entry.domain))
+        services = self._document.services_by_name.values()
+        slots = sum(
+            instance.slots
+            for service in services
+            for instance in service.instances
+            if not instance.leaving
+        )
+        self._view = entry_points.View(tuple(vms), slots)
+        self._points = entry_points.entry_points(self._view, self._own.domain)
+        for service in services:
+            self._balancers.set_led(
+                service.name,
+                entry_points.led_ids(
+                    self._own, self._points, service.instances
+                ),
+            )
+        self._share_budget(len({vm.domain for vm in vms}))
+
+    def _share_budget(self, domains: int) -> None:
+        """Take this VM's part of what the fleet may send more than once."""
+        spenders = max(1, domains) * max(1, len(self._points))
+        if self._own not in self._points:
+            # Callers with old answers bring it a few requests only.
+            spenders *= 4
+        self._retries.set_bounds(
+            BUDGET_SHARE * self._settings.retry_share,
+            max(1.0, BUDGET_SHARE * self._settings.retry_slack / spenders),
+        )
+
+
+def build_document(
+    fleet: str, held: mirror.Mirror, now: float
+) -> documents.Document:
+    """Return the routes in force with the instances that are known."""
+    routing = held.routing
+    instances_by_service: dict[str, list[documents.Instance]] = {}
+    for service, instance in held.discovered(now):
+        instances_by_service.setdefault(service, []).append(instance)
+    services_by_name = {}
+    for service in routing.services:
+        instances = instances_by_service.get(service.name, [])
+        services_by_name[service.name] = documents.Service(
+            service.name,
+            revision=held.revision,
+            instances=tuple(sorted(instances)),
+            routes=(),
+            slots=1,
+            connections=service.connections,
+            floor=0,
+            detection_weight=1.0,
+            demand=0.0,
+            cold_start=0.0,
+            probe_path=service.probe_path,
+            probe_interval=0.0,
+        )
+    return documents.Document(
+        fleet,
+        routing.version,
+        "",
+        (),
+        documents.Limit(0.0, 0),
+        services_by_name,
+        {},
+        routing.routes,
+    )
+
+
+def _log_changes(applied: mirror.Applied, source: str) -> None:
+    for item in applied.instances:
+        if item.discovered is None:
+            events.emit(
+                events.INSTANCE_GONE,
+                key=item.key,
+                revision=item.revision,
+                retain_seconds=round(item.retain, 2),
+                source=source,
+            )
+            continue
+        service, instance = item.discovered
+        events.emit(
+            events.INSTANCE_SEEN,
+            service=service,
+            instance_id=instance.id,
+            boot=instance.boot,
+            address=f"{instance.ip}:{instance.port}",
+            domain=instance.domain,
+            leaving=instance.leaving,
+            cold_seconds=instance.cold_for,
+            revision=item.revision,
+            source=source,
+        )
+
+
+def _ignore_document(document: documents.Document) -> None:
+    pass
+
+
+async def _listen(
+    nursery: trio.Nursery, served: server.Server, address: str
+) -> None:
+    ip, port = checks.split_address(address)
+    await nursery.start(served.run, ip, port)
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -111,8 +111,10 @@
         self._context.observer.attempt_ended(end)
 
     def _end(self) -> plugs.AttemptEnd:
-        end = self._typed_end()
-        return end._replace(load=self.attempt.load)
+        late = trio.current_time() >= self._context.outgoing.deadline
+        return self._typed_end()._replace(
+            load=self.attempt.load, timed_out=late and self.ending is None
+        )
 
     def _typed_end(self) -> plugs.AttemptEnd:
         elapsed = trio.current_time() - self._start.started
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -9,7 +9,8 @@
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import evidence
-from primrosemill.fleet import interfaces
+from primrosemill.fleet import feed
+from primrosemill.fleet import feed_follower
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
 from primrosemill.fleet import node
@@ -23,6 +24,13 @@
 OnDocument = typing.Callable[[documents.Document], None]
 
 
+class FeedHooks(typing.NamedTuple):
+    """What is told of changes in the feed and of peers' suspicions."""
+
+    on_change: feed_follower.ChangeHandler
+    on_suspicion: node.SuspicionHandler
+
+
 class Peers:
     """Follows the configuration and the members of the fleet."""
 
@@ -34,6 +42,7 @@
         counters: peer_counters.PeerCounters,
         generator: random.Random,
         homes_by_service: node.HomesByService = dict,
+        feed_hooks: FeedHooks | None = None,
     ) -> None:
         self.first = trio.Event()
         self.document = documents.empty_document(settings.fleet)
@@ -50,6 +59,8 @@
             settings.peer_key,
         )
         hooks = node.Hooks(self._set_document, homes_by_service, self._observe)
+        if feed_hooks is not None:
+            hooks = hooks._replace(**feed_hooks._asdict())
         self.node = node.Node(
             identity,
             first_peers(settings.first_peers),
@@ -125,6 +136,10 @@
             self._log_refusal(observation.faults)
         elif isinstance(observation, observations.VersionConflict):
             self._log_refusal((observation.fault,))
+        elif isinstance(observation, observations.HistoryLost):
+            events.emit(events.FEED_HISTORY_LOST, revision=observation.after)
+        elif isinstance(observation, observations.BadItemRead):
+            events.emit(events.VALUE_REFUSED, **observation.bad._asdict())
 
     def _log_refusal(self, faults: tuple[typing.Any, ...]) -> None:
         events.emit(
@@ -133,7 +148,7 @@
             faults=[repr(fault) for fault in faults],
         )
 
-    def _note_unreachable(self, fault: interfaces.PlatformFault) -> None:
+    def _note_unreachable(self, fault: feed.FeedFault) -> None:
         if self._store_reachable:
             self._store_reachable = False
             events.emit(events.STORE_UNREACHABLE, fault=repr(fault))
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -47,7 +47,8 @@
 
     ``first_byte`` is None unless the instance began an answer, ``draining``
     tells that the answer said the instance is leaving, ``abandoned`` that
-    the proxy itself gave the attempt up (caller gone or hedge lost).
+    the proxy itself gave the attempt up (caller gone, hedge lost or
+    deadline), ``timed_out`` that this was at the deadline.
     """
 
     start: AttemptStart
@@ -57,6 +58,7 @@
     draining: bool = False
     abandoned: bool = False
     load: balance.Load | None = None
+    timed_out: bool = False
 
 
 class Observer(typing.Protocol):
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -42,6 +42,7 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._accepting = trio.CancelScope()
         self._draining = False
+        self.idle_lifetime = KEEP_ALIVE_TIMEOUT
         self._drain_begins = trio.Event()
         self._drained = trio.Event()
 
@@ -116,7 +117,7 @@
             self._close_idle()
 
     def _close_idle(self) -> None:
-        lifetime = DRAIN_IDLE_TIME if self._draining else KEEP_ALIVE_TIMEOUT
+        lifetime = DRAIN_IDLE_TIME if self._draining else self.idle_lifetime
         oldest = trio.current_time() - lifetime
         for connection in tuple(self._connections):
             connection.close_if_idle(oldest)
--- a/packages/proxy/src/primrosemill/proxy/settings.py
+++ b/packages/proxy/src/primrosemill/proxy/settings.py
@@ -52,8 +52,9 @@
 class _File:
     """Holds the entries of a file, and the faults found on the way."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, keys: tuple[schema.Key, ...]) -> None:
         self.name = name
+        self.keys = keys
         self.faults: list[faults.Fault] = []
         self.lines_by_section: dict[str, int] = {}
         self.entries_by_name: dict[tuple[str, str], Entry] = {}
@@ -120,9 +121,9 @@
 
 
 def _check_sections(file: _File) -> None:
-    known = dict.fromkeys(key.section for key in schema.KEYS)
+    known = dict.fromkeys(key.section for key in file.keys)
     required = dict.fromkeys(
-        key.section for key in schema.KEYS if key.default is None
+        key.section for key in file.keys if key.default is None
     )
     for section, line in file.lines_by_section.items():
         if section in known:
@@ -134,14 +135,14 @@
         if section in file.lines_by_section:
             continue
         names = ", ".join(
-            key.name for key in schema.KEYS if key.section == section
+            key.name for key in file.keys if key.section == section
         )
         file.faults.append(faults.MissingSection(file.name, section, names))
 
 
 def _check_unknown_keys(file: _File) -> None:
     names_by_section: dict[str, list[str]] = {}
-    for key in schema.KEYS:
+    for key in file.keys:
         names_by_section.setdefault(key.section, []).append(key.name)
     for entry in file.entries_by_name.values():
         names = names_by_section.get(entry.section)
@@ -192,24 +193,39 @@
     text: str, file_name: str
 ) -> expression.Result[Settings, tuple[faults.Fault, ...]]:
     """Return the settings in a text, or every fault that it has."""
-    file = _File(file_name)
+    return parse_keys(text, file_name, schema.KEYS).map(
+        lambda values_by_field: Settings(**values_by_field)
+    )
+
+
+def parse_keys(
+    text: str, file_name: str, keys: tuple[schema.Key, ...]
+) -> expression.Result[dict[str, typing.Any], tuple[faults.Fault, ...]]:
+    """Return the values of declared keys by field, or every fault."""
+    file = _File(file_name, keys)
     file.read(text)
     _check_sections(file)
     _check_unknown_keys(file)
-    values_by_field = {key.field: _parse_key(file, key) for key in schema.KEYS}
+    values_by_field = {key.field: _parse_key(file, key) for key in keys}
     _check_ports(file)
     if file.faults:
         return expression.Error(tuple(file.faults))
-    return expression.Ok(Settings(**values_by_field))
+    return expression.Ok(values_by_field)
 
 
 def read(
     path: pathlib.Path,
 ) -> expression.Result[Settings, tuple[faults.Fault, ...]]:
     """Return the settings in a file, or every fault that it has."""
+    return read_text(path).bind(lambda text: parse(text, str(path)))
+
+
+def read_text(
+    path: pathlib.Path,
+) -> expression.Result[str, tuple[faults.Fault, ...]]:
+    """Return the text of a settings file."""
     try:
-        text = path.read_text("utf-8")
+        return expression.Ok(path.read_text("utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         fault = faults.UnreadableFile(str(path), str(error))
         return expression.Error((fault,))
-    return parse(text, str(path))
--- a/packages/proxy/src/primrosemill/proxy/settings_schema.py
+++ b/packages/proxy/src/primrosemill/proxy/settings_schema.py
@@ -63,8 +63,22 @@
     """A key that VMs share, in hexadecimal digits; may be empty."""
 
 
+class Number(typing.NamedTuple):
+    """A number of any unit, both ends of its range included."""
+
+    lowest: float
+    highest: float
+
+
 Form = (
-    Name | IpNumber | Address | AddressList | WholeNumber | Seconds | SecretKey
+    Name
+    | IpNumber
+    | Address
+    | AddressList
+    | WholeNumber
+    | Number
+    | Seconds
+    | SecretKey
 )
 Parsed = expression.Result[typing.Any, Problem]
 
@@ -163,8 +177,9 @@
     return f"a whole number from {form.lowest} to {form.highest}"
 
 
-@parse.register
-def _parse_seconds(form: Seconds, text: str) -> Parsed:
+@parse.register(Number)
+@parse.register(Seconds)
+def _parse_number(form: Number | Seconds, text: str) -> Parsed:
     try:
         value = float(text)
     except ValueError:
@@ -174,6 +189,11 @@
     return _in_range(value, form.lowest, form.highest)
 
 
+@describe.register
+def _describe_number(form: Number) -> str:
+    return f"a number from {form.lowest:g} to {form.highest:g}"
+
+
 @describe.register
 def _describe_seconds(form: Seconds) -> str:
     return f"seconds from {form.lowest:g} to {form.highest:g}"
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -87,6 +87,49 @@
     Level.INFO,
     "The store answers again.",
 )
+FEED_HISTORY_LOST = Event(
+    "PM2005",
+    "feed_history_lost",
+    Level.INFO,
+    "The feed forgot the changes since this revision; all is read again.",
+    ("revision",),
+)
+VALUE_REFUSED = Event(
+    "PM2006",
+    "value_refused",
+    Level.WARNING,
+    "A published value can't be used and counts as absent.",
+    ("key", "revision", "detail"),
+)
+ROUTING_IN_FORCE = Event(
+    "PM2007",
+    "routing_in_force",
+    Level.INFO,
+    "A new version of the operator's routes is in force on this VM; "
+    "`source` is the VM that read it.",
+    ("version", "revision", "routes", "services", "source"),
+)
+ROUTING_OLDER = Event(
+    "PM2008",
+    "routing_older",
+    Level.WARNING,
+    "An older version of the routes was offered; the one in force stays.",
+    ("version", "offered", "source"),
+)
+SETTINGS_RELOADED = Event(
+    "PM2009",
+    "settings_reloaded",
+    Level.INFO,
+    "The settings file was read again; `cause` is the signal or `changed`.",
+    ("cause", "first_peers"),
+)
+SETTINGS_REFUSED = Event(
+    "PM2010",
+    "settings_refused",
+    Level.ERROR,
+    "The settings file has faults; those read before stay.",
+    ("cause", "faults"),
+)
 REQUEST_REFUSED = Event(
     "PM3001",
     "request_refused",
@@ -126,6 +169,35 @@
     "how and why.",
     ("service", "instance_id", "state", "score", "reason"),
 )
+INSTANCE_SEEN = Event(
+    "PM4002",
+    "instance_seen",
+    Level.INFO,
+    "The feed tells of an instance that is new or has changed.",
+    (
+        *("service", "instance_id", "boot", "address", "domain"),
+        *("leaving", "cold_seconds", "revision", "source"),
+    ),
+)
+INSTANCE_GONE = Event(
+    "PM4003",
+    "instance_gone",
+    Level.INFO,
+    "The feed has an instance no more. It stays in use for `retain_seconds`, "
+    "as the feed was away and it may register again.",
+    ("key", "revision", "retain_seconds", "source"),
+)
+TRUST_CHANGED = Event(
+    "PM4004",
+    "trust_changed",
+    Level.INFO,
+    "This VM keeps off an instance for some seconds, or trusts it again. The "
+    "request, if any, is the one whose outcome decided.",
+    (
+        *("service", "instance_id", "trust", "seconds", "failures"),
+        *("cause", "request_id"),
+    ),
+)
 
 CATALOGUE = (
     VM_STARTED,
@@ -136,11 +208,20 @@
     CONFIGURATION_REFUSED,
     STORE_UNREACHABLE,
     STORE_REACHABLE,
+    FEED_HISTORY_LOST,
+    VALUE_REFUSED,
+    ROUTING_IN_FORCE,
+    ROUTING_OLDER,
+    SETTINGS_RELOADED,
+    SETTINGS_REFUSED,
     REQUEST_REFUSED,
     REQUEST_UNKNOWN,
     ANSWER_ABORTED,
     REQUEST_FAILED,
     STANDING_CHANGED,
+    INSTANCE_SEEN,
+    INSTANCE_GONE,
+    TRUST_CHANGED,
 )
 
 
--- /dev/null
+++ b/packages/telemetry/src/primrosemill/telemetry/output.py
@@ -0,0 +1,79 @@
+"""Writes the log to a pipe that nobody may read, within a bound.
+
+A line that the pipe does not take at once waits in a buffer; what the buffer
+does not hold, and what exceeds the rate, is left out and counted, and the
+count is logged. So logging never blocks the loop and never fills memory.
+"""
+
+import os
+import time
+import typing
+
+import msgspec
+
+BUFFER_SIZE = 262_144  # bytes that wait for a slow reader
+LINES_PER_SECOND = 400.0  # on average; about 100 KB/s
+LINES_AT_ONCE = 800.0
+
+Line = dict[str, typing.Any]
+
+
+class BoundedOutput:
+    """A destination of eliot that writes JSON lines to a descriptor."""
+
+    def __init__(
+        self,
+        descriptor: int,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._clock = clock
+        self._encoder = msgspec.json.Encoder(enc_hook=repr)
+        self._pending = bytearray()
+        self._allowed = LINES_AT_ONCE
+        self._counted_at = clock()
+        self.left_out = 0
+
+    def __call__(self, line: Line) -> None:
+        """Write one line, or leave it out."""
+        if not self._admit():
+            self.left_out += 1
+            return
+        data = self._encoder.encode(line) + b"\n"
+        if self.left_out:
+            count, self.left_out = self.left_out, 0
+            data += self._encoder.encode({"lines_left_out": count}) + b"\n"
+        self._write(data)
+
+    def _admit(self) -> bool:
+        now = self._clock()
+        earned = (now - self._counted_at) * LINES_PER_SECOND
+        self._counted_at = now
+        self._allowed = min(LINES_AT_ONCE, self._allowed + earned)
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
+    def _write(self, data: bytes) -> None:
+        self._flush()
+        if len(self._pending) + len(data) > BUFFER_SIZE:
+            self.left_out += data.count(b"\n")
+            return
+        self._pending += data
+        self._flush()
+
+    def _flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone for good; the VM serves on.
+                self.left_out += self._pending.count(b"\n")
+                self._pending.clear()
+                return
+            del self._pending[:written]
