--- a/packages/decisions/src/primrosemill/decisions/avoidance.py
+++ b/packages/decisions/src/primrosemill/decisions/avoidance.py
@@ -4,7 +4,7 @@
 hardly any, so a single failure makes a spell more likely than not. The
 instance is then avoided for a short time that doubles with each further
 failure. After it, one repeatable request at a time tries the instance until
-an answer shows that it is well again.
+enough answers show that it is well again.
 """
 
 import enum
@@ -18,6 +18,10 @@
 SLOW_RATIO = 2.5  # times the usual; an average above it counts as a failure
 RATIO_WEIGHT = 0.4  # of the latest answer in the average
 LEAST_MEMORY = 0.05  # failures; an instance with less is forgotten
+# Successes that a trial takes beside one for each failure: an instance that
+# fails half of its requests often answers one of them.
+TRIALS = 1.0
+MOST_TRIALS = 3.0
 TRIAL_TIME = 3.0  # seconds after which an instance is trusted untried
 
 
@@ -42,13 +46,14 @@
 class _Record:
     """What is held against one instance."""
 
-    __slots__ = ("failures", "noted", "on_trial", "ratio", "until")
+    __slots__ = ("failures", "noted", "on_trial", "passed", "ratio", "until")
 
     def __init__(self, now: float) -> None:
         self.failures = 0.0
         self.noted = now
         self.until = -math.inf
         self.on_trial = False
+        self.passed = 0
         self.ratio = 1.0
 
     def decay(self, now: float) -> None:
@@ -90,6 +95,7 @@
         )
         record.until = max(record.until, now + seconds)
         record.on_trial = True
+        record.passed = 0
         return Verdict(instance_id, Trust.AVOIDED, seconds, record.failures)
 
     def told(
@@ -108,6 +114,7 @@
         record.failures = max(record.failures, 1.0)
         record.until = now + seconds
         record.on_trial = True
+        record.passed = 0
         return Verdict(instance_id, Trust.AVOIDED, seconds, record.failures)
 
     def succeeded(
@@ -127,10 +134,13 @@
         if record.ratio > SLOW_RATIO:
             record.ratio = 1.0
             return self.failed(instance_id, now)
-        record.failures = max(0.0, record.failures - SUCCESS_CREDIT)
         if not record.on_trial or now < record.until:
+            record.failures = max(0.0, record.failures - SUCCESS_CREDIT)
             self._forget_if_clean(instance_id, record)
             return None
+        record.passed += 1
+        if record.passed < min(MOST_TRIALS, TRIALS + record.failures):
+            return None
         record.on_trial = False
         failures = record.failures
         self._forget_if_clean(instance_id, record)
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -3,7 +3,9 @@
 An instance is used while it has a slot to spare, counted from this VM's own
 requests and from the load that the instance told in its last answer. Among
 those, trusted instances go before suspect ones, then those of the VM's own
-failure domain, then those that this VM leads, then the least loaded.
+failure domain, then those that this VM leads. A request that must not be
+repeated prefers an instance that has just answered well, any other one the
+instance that has not been heard of for longest; then the least loaded goes.
 """
 
 import random
@@ -20,6 +22,7 @@
 COLD_PENALTY = 1.0  # requests that a cold instance counts as holding
 STALL_FACTOR = 4.0  # times the usual time after which no answer is a sign
 LEAST_STALL = 0.4  # seconds; shorter delays are common on a busy network
+EVIDENCE_STEP = 0.5  # seconds; good answers closer than that are equal
 PART_LOAD = 0.5  # requests; a faded load below it counts as none
 FLOOR_SHARE = 0.7  # of the instances that stay usable whatever is suspected
 TRUSTED = avoidance.Trust.TRUSTED
@@ -57,6 +60,7 @@
         "others_at",
         "paused_until",
         "starts",
+        "well_at",
     )
 
     def __init__(self, instance: documents.Instance, now: float) -> None:
@@ -66,6 +70,7 @@
         self.paused_until = 0.0
         self.cold_until = now + instance.cold_for
         self.starts: list[float] = []
+        self.well_at = now
 
     def occupied(self, now: float) -> float:
         """Return the requests that the instance probably holds."""
@@ -107,6 +112,11 @@
         use = self._uses_by_id.get(instance_id)
         return None if use is None else use.instance
 
+    def busy_at(self, instance_id: str) -> int:
+        """Return the number of this VM's requests at an instance."""
+        use = self._uses_by_id.get(instance_id)
+        return 0 if use is None else len(use.starts)
+
     def has_local(self, now: float) -> bool:
         """Tell whether the VM's own domain has an instance to trust."""
         for use in self._uses_by_id.values():
@@ -173,14 +183,24 @@
         use.starts.remove(nearest)
 
     def note_load(self, instance_id: str, load: Load, now: float) -> None:
-        """Take what an instance told with an answer."""
+        """Take what an instance told with an answer.
+
+        It counts the request that it answers, whose slot was given back.
+        """
         use = self._uses_by_id.get(instance_id)
         if use is None:
             return
         own = len(use.starts)
-        use.others = float(max(0, load.running + load.waiting - own))
+        told = load.running + load.waiting - 1
+        use.others = float(max(0, told - own))
         use.others_at = now
 
+    def note_well(self, instance_id: str, started: float) -> None:
+        """Note that a request that started then was answered well."""
+        use = self._uses_by_id.get(instance_id)
+        if use is not None:
+            use.well_at = max(use.well_at, started)
+
     def note_shed(self, instance_id: str, now: float) -> None:
         """Leave an instance alone for a moment that was full."""
         use = self._uses_by_id.get(instance_id)
@@ -251,10 +271,14 @@
             occupied += COLD_PENALTY
         remote = use.instance.domain != self._domain
         other_lead = use.instance.id not in self._led_ids
+        age = (now - use.well_at) // EVIDENCE_STEP
         return (
             _standing(trust, need.idempotent and not remote),
             remote,
             other_lead,
+            # What may be repeated finds out about instances that have been
+            # quiet; what may not goes where all was well lately.
+            -age if need.idempotent else age,
             occupied / max(1, use.instance.slots),
             self._generator.random(),
         )
--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -29,6 +29,7 @@
     only: frozenset[str] | None = None
     route: documents.Route | None = None
     arrived: float = 0.0
+    request_id: str = ""
 
 
 class Granted(typing.NamedTuple):
--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -19,6 +19,8 @@
 # A watch is renewed this often, which bounds how long a silent connection
 # hides changes.
 WATCH_WAIT = 1.5  # seconds
+# Changes come in bursts; those within this time cost one call together.
+WATCH_PAUSE = 0.15  # seconds after changes before the next watch
 STEP = 0.05  # seconds between looks whether this VM should read
 # An instance whose entry is gone when the feed comes back after an outage has
 # this long to register again before it counts as gone.
@@ -165,6 +167,8 @@
             if self._choice.should_stop(self._readers_heard()):
                 return
             self._view.set_watching(True)
+            if result.ok.batch.items:
+                await trio.sleep(WATCH_PAUSE)
             result = await self._feed.watch(self.mirror.revision, WATCH_WAIT)
 
     def _note_answer(self) -> None:
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -44,6 +44,7 @@
         queue_limit: int = dispatch.QUEUE_LIMIT,
         dialect: dialects.Dialect = dialects.OWN,
         make_dispatcher: MakeDispatcher | None = None,
+        log_requests: bool = False,
     ) -> None:
         self._generator = generator
         self._plugs = decisions or plugs.plain()
@@ -59,7 +60,7 @@
         self.body_limit: int | None = None
         self._alarm = alarms.Alarm()
         self._hedges = hedging.Hedges()
-        self._reports = reports.Reports(self._counters)
+        self._reports = reports.Reports(self._counters, log_requests)
         self.closing = False
         self.in_flight = 0
 
@@ -145,11 +146,20 @@
         try:
             ending = await self._resolve(scope, body, caller)
             await _conclude(ending, caller)
-            self._reports.note_ending(ending, started, trio.current_time())
+            self._reports.note_ending(
+                ending, started, trio.current_time(), self._id_of(scope)
+            )
         finally:
             self.in_flight -= 1
             caller.detach()
 
+    def _id_of(self, scope: asgi.Scope) -> str:
+        """Return the caller's id of a request, for the log."""
+        if self._dialect.request_id is None:
+            return ""
+        value = headers.find(scope["headers"], self._dialect.request_id)
+        return (value or b"").decode("latin-1")
+
     def waiting(self, service: str) -> int:
         """Return how many requests wait for a slot of a service."""
         return self._dispatchers_by_service[service].waiting
@@ -228,7 +238,9 @@
             ),
             caller,
             self._plugs.retries,
-            self._counters.count_retry,
+            lambda failure: self._reports.note_retry(
+                failure, (outgoing.request_id or b"").decode("latin-1")
+            ),
             self._hedges,
         )
         with trio.CancelScope(deadline=outgoing.deadline) as scope:
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -20,7 +20,8 @@
 from primrosemill.proxy import replay
 from primrosemill.proxy import wire
 
-CONNECT_TIMEOUT = 1.0  # seconds
+# Far above a round trip, far below a request: another instance has time left.
+CONNECT_TIMEOUT = 0.25  # seconds
 FIRST_ERROR_STATUS = 400
 HOLD_SIZE = 65_536  # bytes of an answer that are read before it goes on
 
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -22,6 +22,7 @@
 from primrosemill.decisions import waiting_line
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
+from primrosemill.telemetry import events
 
 # A large body waits for an instance of the own failure domain this long, as
 # a share of its route's target; then it crosses.
@@ -146,6 +147,18 @@
         refused = self._line.join(waiter, now, self._drain_rate(now))
         if refused is not None:
             return plugs.Refused(refused.reason, refused.retry_after)
+        events.emit(
+            events.REQUEST_WAITS,
+            request_id=wish.request_id,
+            service=self.name,
+            route=route.name,
+            waiting=len(self._line),
+            busy=self.balance.busy,
+            estimated_wait=round(
+                self._line.estimate_wait(waiter, now, self._drain_rate(now)), 3
+            ),
+            seconds_left=round(wish.deadline - now, 3),
+        )
         return await self._wait(waiter, _Waiter(wish))
 
     async def _wait(self, waiter: waiting_line.Waiter, task: _Waiter) -> Grant:
@@ -311,13 +324,37 @@
         return None
 
     def attempt_started(self, start: plugs.AttemptStart) -> None:
-        """Learn nothing; the balance knows what is in flight."""
+        """Log the choice; the balance knows what is in flight."""
+        balancer = self._balancers_by_service.get(start.service)
+        if balancer is None:
+            return
+        now = trio.current_time()
+        trust = balancer.balance.avoidance.trust(start.instance_id, now)
+        events.emit(
+            events.REQUEST_SENT,
+            request_id=start.request_id,
+            service=start.service,
+            route=start.route,
+            instance_id=start.instance_id,
+            boot=start.boot,
+            busy=balancer.balance.busy_at(start.instance_id),
+            trust=trust.name.lower(),
+            waited=round(now - start.arrived, 4),
+        )
 
     def attempt_answered(self, start: plugs.AttemptStart, status: int) -> None:
         """Learn nothing before the answer is whole."""
 
     def attempt_ended(self, end: plugs.AttemptEnd) -> None:
         """Change the trust in an instance by how an attempt ended."""
+        events.emit(
+            events.ATTEMPT_ENDED,
+            request_id=end.start.request_id,
+            instance_id=end.start.instance_id,
+            outcome=_cause(end.outcome),
+            elapsed=round(end.elapsed, 4),
+            load=end.load,
+        )
         balancer = self._balancers_by_service.get(end.start.service)
         if balancer is None:
             return
@@ -361,6 +398,7 @@
         if balancer.times.known(start.route):
             ratio = end.elapsed / balancer.times.usual(start.route)
         balancer.times.note(start.route, end.elapsed)
+        balancer.balance.note_well(start.instance_id, start.started)
         return held.succeeded(start.instance_id, ratio, now)
 
 
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -67,6 +67,7 @@
             counts,
             dialect=adapter.dialect,
             make_dispatcher=self._balancers.make,
+            log_requests=True,
         )
         self._callers = server.Server(
             self._application, self._application.note_failure
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -166,6 +166,7 @@
             only,
             outgoing.route,
             outgoing.arrived,
+            (outgoing.request_id or b"").decode("latin-1"),
         )
 
     @property
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -89,6 +89,7 @@
             instance.boot,
             context.outgoing.route.name if context.outgoing.route else "",
             (context.outgoing.request_id or b"").decode("latin-1"),
+            context.outgoing.arrived,
         )
         context.observer.attempt_started(self._start)
 
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -40,6 +40,7 @@
     boot: int = 0
     route: str = ""
     request_id: str = ""
+    arrived: float = 0.0
 
 
 class AttemptEnd(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/reports.py
+++ b/packages/proxy/src/primrosemill/proxy/reports.py
@@ -11,17 +11,36 @@
 
 
 class Reports:
-    """Keeps the log short: one line an interval for each reason."""
+    """Keeps the log short: one line an interval for each reason.
 
-    def __init__(self, counts: counters.Counters) -> None:
+    With ``each_request`` every ending and retry is logged with its id.
+    """
+
+    def __init__(
+        self, counts: counters.Counters, each_request: bool = False
+    ) -> None:
         self._counters = counts
+        self._each_request = each_request
         self._limiter = limiter.Limiter()
 
     def note_ending(
-        self, ending: exchange.Ending, started: float, now: float
+        self,
+        ending: exchange.Ending,
+        started: float,
+        now: float,
+        request_id: str = "",
     ) -> None:
         """Count a request and log its first occurrence of trouble."""
         self._counters.count_ending(ending, now - started)
+        if self._each_request:
+            events.emit(
+                events.REQUEST_ENDED,
+                request_id=request_id,
+                ending=type(ending).__name__.lower(),
+                detail=_detail_of(ending),
+                elapsed=round(now - started, 4),
+            )
+            return
         event = _event_of(ending)
         if event is None:
             return
@@ -29,6 +48,16 @@
         if left_out is not None:
             events.emit(event, reason=ending.reason.value, left_out=left_out)
 
+    def note_retry(self, failure: exchange.Failure, request_id: str) -> None:
+        """Count an attempt that another one follows."""
+        self._counters.count_retry(failure)
+        if self._each_request:
+            events.emit(
+                events.REQUEST_RETRIED,
+                request_id=request_id,
+                reason=failure.reason.value,
+            )
+
     def note_failure(self, error: Exception) -> None:
         """Log a fault of the proxy itself."""
         self._counters.failures.inc()
@@ -53,3 +82,18 @@
 @_event_of.register
 def _event_of_abort(ending: exchange.Aborted) -> events.Event:
     return events.ANSWER_ABORTED
+
+
+@functools.singledispatch
+def _detail_of(ending: exchange.Ending) -> str | int:
+    return ending.reason.value
+
+
+@_detail_of.register
+def _detail_of_relayed(ending: exchange.Relayed) -> int:
+    return ending.status
+
+
+@_detail_of.register
+def _detail_of_gone(ending: exchange.CallerGone) -> str:
+    return ""
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -161,6 +161,48 @@
     "was reset.",
     ("error",),
 )
+REQUEST_WAITS = Event(
+    "PM3005",
+    "request_waits",
+    Level.INFO,
+    "No instance has a slot to spare, so the request waits in line.",
+    (
+        *("request_id", "service", "route", "waiting", "busy"),
+        *("estimated_wait", "seconds_left"),
+    ),
+)
+REQUEST_SENT = Event(
+    "PM3006",
+    "request_sent",
+    Level.INFO,
+    "An instance was chosen and the attempt begins. `busy` are this VM's "
+    "requests at the instance, `waited` is the time since the arrival.",
+    (
+        *("request_id", "service", "route", "instance_id", "boot"),
+        *("busy", "trust", "waited"),
+    ),
+)
+ATTEMPT_ENDED = Event(
+    "PM3007",
+    "attempt_ended",
+    Level.INFO,
+    "An attempt is over; `load` is what the instance told of itself.",
+    ("request_id", "instance_id", "outcome", "elapsed", "load"),
+)
+REQUEST_RETRIED = Event(
+    "PM3008",
+    "request_retried",
+    Level.INFO,
+    "An attempt brought no answer, and another one follows.",
+    ("request_id", "reason"),
+)
+REQUEST_ENDED = Event(
+    "PM3009",
+    "request_ended",
+    Level.INFO,
+    "The request has its final answer, or its caller has left.",
+    ("request_id", "ending", "detail", "elapsed"),
+)
 STANDING_CHANGED = Event(
     "PM4001",
     "standing_changed",
@@ -218,6 +260,11 @@
     REQUEST_UNKNOWN,
     ANSWER_ABORTED,
     REQUEST_FAILED,
+    REQUEST_WAITS,
+    REQUEST_SENT,
+    ATTEMPT_ENDED,
+    REQUEST_RETRIED,
+    REQUEST_ENDED,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
