--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -11,6 +11,7 @@
 from primrosemill.fleet import messages
 from primrosemill.fleet import mirror
 from primrosemill.fleet import observations
+from primrosemill.fleet import outages
 from primrosemill.fleet import pulls
 from primrosemill.fleet import readers
 from primrosemill.fleet import transport
@@ -22,10 +23,6 @@
 # Changes come in bursts; those within this time cost one call together.
 WATCH_PAUSE = 0.15  # seconds after changes before the next watch
 STEP = 0.05  # seconds between looks whether this VM should read
-# An instance whose entry is gone when the feed comes back after an outage has
-# this long to register again before it counts as gone.
-RETURN_TIME = 2.0  # seconds
-LEAST_OUTAGE = 1.0  # seconds without an answer to anybody in the domain
 PULL_PAUSE = 0.5  # seconds before a peer that failed is asked again
 CROSS_EDGES = 2  # VMs of any domain that hear of a change at once
 SINCE = "since/"  # prefix of the key under which a peer pulls changes
@@ -61,8 +58,7 @@
         self._heard_by_id: dict[str, int] = {}
         self._failed_at_by_id: dict[str, float] = {}
         self._news = trio.Event()
-        self._answered_at = trio.current_time()
-        self._retain_until = 0.0
+        self._outages = outages.Outages(trio.current_time())
         self._answers_by_key: dict[tuple[str, int], bytes] = {}
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -138,12 +134,17 @@
     def _readers_heard(self) -> int:
         return sum(entry.watching for entry in self._domain_peers())
 
+    def _anyone_reads(self) -> bool:
+        """Tell whether any other VM says that it reads the feed."""
+        present = self._view.table.present_by_id.values()
+        return any(entry.watching for entry in present)
+
     async def _follow_feed(self) -> None:
         while True:
             now = trio.current_time()
             heard = self._readers_heard()
-            if heard:
-                self._answered_at = now
+            if self._anyone_reads():
+                self._outages.note_reader(now)
             if self._choice.should_start(
                 now, heard, len(self._domain_peers())
             ):
@@ -172,13 +173,9 @@
             result = await self._feed.watch(self.mirror.revision, WATCH_WAIT)
 
     def _note_answer(self) -> None:
-        """Give instances time to register again after an outage."""
-        now = trio.current_time()
         self._choice.note_success()
         self._observe(observations.StoreAnswered())
-        if now - self._answered_at >= LEAST_OUTAGE:
-            self._retain_until = now + RETURN_TIME
-        self._answered_at = now
+        self._outages.note_answer(trio.current_time())
 
     async def _take_read(self, read: feed.Read) -> None:
         for bad in read.bad_items:
@@ -191,8 +188,7 @@
 
     def _apply(self, batch: feed.Batch, source: str) -> None:
         now = trio.current_time()
-        retain = max(0.0, self._retain_until - now)
-        applied = self.mirror.apply(batch, now, retain)
+        applied = self.mirror.apply(batch, now, self._outages.retain(now))
         self._view.version = messages.VersionInForce(
             self.mirror.revision, NO_DIGEST
         )
@@ -203,7 +199,7 @@
 
     async def _push(self, batch: feed.Batch) -> None:
         """Pass changes on to the domain, and the news to some others."""
-        if self._retain_until > trio.current_time():
+        if self._outages.retain(trio.current_time()):
             batch = self.mirror.since(batch.after, trio.current_time())
         changes = messages.Changes(batch)
         if len(msgspec.msgpack.encode(changes)) <= PUSH_SIZE:
