Prove the whole path on the platform against stand-ins

One failed first: a repeatable request that failed on as many instances as its route allows was sent to the same ones again; now only one that was shed may be.

The line, the balance and the usual times are joined in decisions/allocation, so that the proxy only carries grants.

--- a/packages/decisions/src/primrosemill/decisions/waiting_line.py
+++ b/packages/decisions/src/primrosemill/decisions/waiting_line.py
@@ -115,10 +115,8 @@
             ),
         )
 
-    def hopeless(
-        self, now: float, drain_rate: float | None
-    ) -> list[tuple[Waiter, float]]:
-        """Take out those that can't be served any more; with their waits.
+    def hopeless(self, now: float, drain_rate: float | None) -> list[Waiter]:
+        """Take out those that can't be served any more.
 
         A late waiter goes after all that are on time, so it is hopeless
         when those that come take up all that is served.
@@ -130,7 +128,7 @@
             wait = self.estimate_wait(waiter, now, drain_rate)
             if self._is_hopeless(waiter, wait, now):
                 del self._waiters_by_ticket[waiter.ticket]
-                found.append((waiter, wait))
+                found.append(waiter)
         return found
 
     def estimate_wait(
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -1,8 +1,8 @@
 """Carries requests to the balance of each service, and outcomes back.
 
-The decisions are in :mod:`primrosemill.decisions.balance`, ``avoidance`` and
-``waiting_line``; here each grant goes to the task that waits for it, and what
-an attempt met changes the trust in its instance.
+The decisions are in :mod:`primrosemill.decisions.allocation` and
+:mod:`primrosemill.decisions.avoidance`; here each grant goes to the task that
+waits for it, and what an attempt met changes the trust in its instance.
 """
 
 import functools
@@ -12,21 +12,18 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import allocation
 from primrosemill.decisions import avoidance
 from primrosemill.decisions import balance
 from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
 from primrosemill.decisions import standings
-from primrosemill.decisions import usual_times
 from primrosemill.decisions import waiting_line
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
 from primrosemill.telemetry import events
 
-# A large body waits for an instance of the own failure domain this long, as
-# a share of its route's target; then it crosses.
-LOCAL_PATIENCE = 0.2
 FIRST_SERVER_ERROR = 500
 NOT_FAILURES = frozenset(
     {
@@ -79,8 +76,7 @@
 class _Waiter:
     """A task in the line, and what it was told."""
 
-    def __init__(self, wish: dispatch.Wish) -> None:
-        self.wish = wish
+    def __init__(self) -> None:
         self.told = trio.Event()
         self.grant: Grant | None = None
 
@@ -91,7 +87,10 @@
 
 
 class Balancer:
-    """Grants the slots of one service, and queues who finds none."""
+    """Carries requests for one service to its allocation.
+
+    The alarm is set whenever :meth:`wake` is due without a release.
+    """
 
     def __init__(
         self,
@@ -102,83 +101,61 @@
         floor_share: float = balance.FLOOR_SHARE,
     ) -> None:
         self.name = service.name
-        self.balance = balance.Balance(domain, generator, floor_share)
-        self.times = usual_times.UsualTimes()
-        self._line = waiting_line.WaitingLine()
+        self.allocation = allocation.Allocation(
+            domain, generator, trio.current_time(), floor_share
+        )
         self._alarm = alarm
         self._waiters_by_ticket: dict[int, _Waiter] = {}
-        self._next_ticket = 0
-        self._last_progress = trio.current_time()
         self.set_service(service)
 
+    @property
+    def balance(self) -> balance.Balance:
+        """Return the balance, to which what instances told is noted."""
+        return self.allocation.balance
+
     @property
     def waiting(self) -> int:
         """Return the number of requests that wait."""
-        return len(self._line)
+        return self.allocation.waiting
 
     def set_service(self, service: documents.Service) -> None:
         """Take the instances that are known now."""
         self.balance.set_instances(service.instances, trio.current_time())
         self.wake()
 
-    def set_led(self, led_ids: frozenset[str]) -> None:
-        """Take the instances that this VM fills first."""
-        self.balance.set_led(led_ids)
-
     async def acquire(self, wish: dispatch.Wish) -> Grant:
         """Take a slot, or wait for one as long as that makes sense."""
         now = trio.current_time()
-        route = wish.route
-        self._line.note_arrival(route.priority, now)
-        if not self.balance.size:
-            return plugs.Refused(outcomes.RefusalReason.NO_INSTANCE)
-        if not self._line:
-            instance = self._choose(wish, now)
-            if instance is not None:
-                return instance
-        self._next_ticket += 1
-        waiter = waiting_line.Waiter(
-            self._next_ticket,
-            route.priority,
-            wish.arrived + (route.target or route.deadline),
-            wish.deadline,
-            self.times.usual(route.name),
-        )
-        refused = self._line.join(waiter, now, self._drain_rate(now))
-        if refused is not None:
-            return plugs.Refused(refused.reason, refused.retry_after)
+        asked = self.allocation.ask(wish, now)
+        if not isinstance(asked, allocation.Waiting):
+            return _grant_of(asked)
         events.emit(
             events.REQUEST_WAITS,
             request_id=wish.request_id,
             service=self.name,
-            route=route.name,
-            waiting=len(self._line),
+            route=wish.route.name,
+            waiting=self.waiting,
             busy=self.balance.busy,
-            estimated_wait=round(
-                self._line.estimate_wait(waiter, now, self._drain_rate(now)), 3
-            ),
+            estimated_wait=round(asked.estimate, 3),
             seconds_left=round(wish.deadline - now, 3),
         )
-        return await self._wait(waiter, _Waiter(wish))
+        return await self._wait(asked.ticket, wish.deadline)
 
-    async def _wait(self, waiter: waiting_line.Waiter, task: _Waiter) -> Grant:
-        self._waiters_by_ticket[waiter.ticket] = task
+    async def _wait(self, ticket: int, deadline: float) -> Grant:
+        waiter = self._waiters_by_ticket[ticket] = _Waiter()
         # An urgent request may go at once past others that wait.
         self.wake()
         try:
-            with trio.move_on_at(waiter.deadline):
-                await task.told.wait()
+            with trio.move_on_at(deadline):
+                await waiter.told.wait()
         except trio.Cancelled:
-            self._leave(waiter.ticket, task)
+            self._leave(ticket, waiter)
             raise
-        if task.grant is None:
-            self._leave(waiter.ticket, task)
-            now = trio.current_time()
-            return plugs.Refused(
-                outcomes.RefusalReason.DEADLINE,
-                self._line.retry_after(self._drain_rate(now)),
-            )
-        return task.grant
+        if waiter.grant is None:
+            self._leave(ticket, waiter)
+            late = self.allocation.refuse_late(trio.current_time())
+            return _grant_of(late)
+        return waiter.grant
 
     def acquire_named(self, instance_id: str) -> documents.Instance | None:
         """Grant nothing by name; trials go by the choice itself."""
@@ -186,74 +163,38 @@
 
     def try_acquire(self, wish: dispatch.Wish) -> documents.Instance | None:
         """Take a slot if one is free now that nobody waits for."""
-        if self._line:
-            return None
-        return self._choose(wish, trio.current_time())
+        return self.allocation.take_spare(wish, trio.current_time())
 
     def release(self, instance_id: str, held: float, end: pool.End) -> None:
         """Give a slot back and grant it to the next request in turn."""
-        now = trio.current_time()
-        self._last_progress = now
-        self.balance.release(instance_id, now - held)
-        if end is pool.End.SHED:
-            self.balance.note_shed(instance_id, now)
+        self.allocation.release(instance_id, held, end, trio.current_time())
         self.wake()
 
     def ramp_up(self) -> None:
         """Do nothing: a cold instance counts as busier by itself."""
 
     def wake(self) -> None:
-        """Grant free slots in order, and refuse whom none can serve."""
-        if not self._line:
+        """Carry grants and refusals to those who wait."""
+        if not self.waiting:
             return
         now = trio.current_time()
-        for waiter in self._line.in_order(now):
-            task = self._waiters_by_ticket[waiter.ticket]
-            instance = self._choose(task.wish, now)
-            if instance is None:
-                continue
-            self._line.leave(waiter.ticket)
-            del self._waiters_by_ticket[waiter.ticket]
-            task.tell(instance)
-        drain_rate = self._drain_rate(now)
-        for waiter, _wait in self._line.hopeless(now, drain_rate):
-            task = self._waiters_by_ticket.pop(waiter.ticket)
-            task.tell(
-                plugs.Refused(
-                    outcomes.RefusalReason.DEADLINE,
-                    self._line.retry_after(drain_rate),
-                )
-            )
-        if self._line:
-            self._alarm.set(self.balance.next_chance(now))
-
-    def _choose(
-        self, wish: dispatch.Wish, now: float
-    ) -> documents.Instance | None:
-        route = wish.route
-        local = False
-        if route.large_bodies and wish.only is None:
-            patience = LOCAL_PATIENCE * (route.target or route.deadline)
-            waited = now - wish.arrived
-            local = waited < patience and self.balance.has_local(now)
-        need = balance.Need(wish.idempotent, wish.excluded, wish.only, local)
-        self.balance.usual_time = self.times.overall
-        return self.balance.choose(need, now)
-
-    def _drain_rate(self, now: float) -> float | None:
-        """Return the requests a second that leave the slots held here."""
-        busy = self.balance.busy
-        if not busy:
-            return None
-        quiet = now - self._last_progress
-        return busy / max(self.times.overall, quiet)
-
-    def _leave(self, ticket: int, task: _Waiter) -> None:
+        for wakeup in self.allocation.wake(now):
+            waiter = self._waiters_by_ticket.pop(wakeup.ticket)
+            waiter.tell(_grant_of(wakeup.told))
+        self._alarm.set(self.allocation.next_wake(now))
+
+    def _leave(self, ticket: int, waiter: _Waiter) -> None:
         """Take a task out of the line, or give its slot to another."""
         self._waiters_by_ticket.pop(ticket, None)
-        self._line.leave(ticket)
-        if isinstance(task.grant, documents.Instance):
-            self.release(task.grant.id, 0.0, pool.End.FAILED)
+        self.allocation.leave(ticket)
+        if isinstance(waiter.grant, documents.Instance):
+            self.release(waiter.grant.id, 0.0, pool.End.FAILED)
+
+
+def _grant_of(told: allocation.Granted | waiting_line.Refused) -> Grant:
+    if isinstance(told, allocation.Granted):
+        return told.instance
+    return plugs.Refused(told.reason, told.retry_after)
 
 
 class Balancers:
@@ -286,7 +227,7 @@
         """Take the instances of a service that this VM fills first."""
         balancer = self._balancers_by_service.get(service)
         if balancer is not None:
-            balancer.set_led(led_ids)
+            balancer.balance.set_led(led_ids)
 
     def take_suspicion(
         self, service: str, instance_id: str, boot: int, seconds: float
@@ -395,9 +336,10 @@
         if judged.failed:
             return held.failed(start.instance_id, now)
         ratio = None
-        if balancer.times.known(start.route):
-            ratio = end.elapsed / balancer.times.usual(start.route)
-        balancer.times.note(start.route, end.elapsed)
+        times = balancer.allocation.times
+        if times.known(start.route):
+            ratio = end.elapsed / times.usual(start.route)
+        times.note(start.route, end.elapsed)
         balancer.balance.note_well(start.instance_id, start.started)
         return held.succeeded(start.instance_id, ratio, now)
 
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -169,6 +169,15 @@
             (outgoing.request_id or b"").decode("latin-1"),
         )
 
+    def _has_run_everywhere(self, failure: Failure) -> bool:
+        """Tell whether an attempt may have run on the last instance allowed.
+
+        One that sheds may be asked again, as it has not run the request.
+        """
+        if isinstance(failure, outcomes.NotRun) or not self._most_instances:
+            return False
+        return len(self._sent_ids) >= self._most_instances
+
     @property
     def _most_instances(self) -> int:
         route = self._context.outgoing.route
@@ -179,12 +188,15 @@
     ) -> plugs.Decision | plugs.Refused | outcomes.Unknown:
         """Decide what follows a failed attempt.
 
-        The two checks that come before the policy hold the promise that
-        what must not be repeated runs at most once.
+        The checks that come before the policy hold the promises that what
+        must not be repeated runs at most once, and nothing on more
+        instances than its route allows.
         """
         outgoing = self._context.outgoing
         if isinstance(failure, outcomes.Unknown) and not outgoing.idempotent:
             return failure
+        if self._has_run_everywhere(failure):
+            return failure
         if not outgoing.body.replayable:
             return self._unknown or plugs.Refused(
                 outcomes.RefusalReason.BODY_SENT
--- /dev/null
+++ b/tests/builders/users_platform.py
@@ -0,0 +1,188 @@
+"""Builds entry VMs before stand-ins of the users' platform, on loopback."""
+
+import contextlib
+import random
+import socket
+import typing
+
+import httpcore
+import trio
+
+from primrosemill.platform import adapter
+from primrosemill.proxy import entry_settings
+from primrosemill.proxy import entry_vm
+from primrosemill.standins import asgi
+from primrosemill.standins import users_instance
+from primrosemill.standins import users_store
+
+IP = "127.0.0.1"
+HOST = "bookings.example"
+SERVICE = "reservations"
+READ_PATH = "/slots/today"
+ONCE_PATH = "/bookings/new"
+UPLOAD_PATH = "/certificates/new"
+DOMAIN = "ain-sebaa"
+START_TIME = 10.0  # seconds that a VM may take to serve
+
+
+def route(prefix: str, kind: str, **changes) -> dict[str, typing.Any]:
+    return {
+        "name": f"route {prefix}",
+        "host": HOST,
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 600,
+        "priority": 1,
+        "max_attempts": 2,
+        "service": SERVICE,
+    } | changes
+
+
+def service(name: str = SERVICE, **changes) -> dict[str, typing.Any]:
+    return {
+        "name": name,
+        "health_path": "/health",
+        "max_connections": 330,
+        "protocol": "h1",
+        "tls": False,
+    } | changes
+
+
+def configuration(version: int = 3, **changes) -> dict[str, typing.Any]:
+    return {
+        "version": version,
+        "routes": [
+            route("/slots/", "idempotent"),
+            route("/bookings/", "non_idempotent"),
+            route("/certificates/", "upload"),
+        ],
+        "services": [service()],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    } | changes
+
+
+def entry(address: str = "10.128.0.9:8080", **changes) -> dict:
+    return {
+        "service": SERVICE,
+        "address": address,
+        "zone": DOMAIN,
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 4,
+        "born": 1_000,
+    } | changes
+
+
+def free_port(ip: str = IP) -> int:
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def settings(store_address: str, **changes) -> entry_settings.EntrySettings:
+    ports = iter([free_port() for _ in range(5)])
+    built = entry_settings.EntrySettings(
+        "primrosemill",
+        "entry-1",
+        DOMAIN,
+        store_address,
+        *(f"{IP}:{port}" for port in ports),
+        retry_slack=60.0,
+    )
+    return built._replace(**changes)
+
+
+class Running(typing.NamedTuple):
+    """One entry VM and the stand-ins around it."""
+
+    vm: entry_vm.EntryVm
+    settings: entry_settings.EntrySettings
+    store: users_store.StoreStandin
+    instances: list[users_instance.InstanceStandin]
+
+
+@contextlib.asynccontextmanager
+async def running(count: int = 2, document: dict | None = None):
+    """Run a VM before some instances, until it serves."""
+    store = users_store.StoreStandin()
+    instances = [
+        users_instance.InstanceStandin(f"i-{number}")
+        for number in range(count)
+    ]
+    async with trio.open_nursery() as nursery:
+        served = await nursery.start(asgi.serve, store, IP)
+        for instance in instances:
+            place = await nursery.start(instance.serve, IP)
+            store.put_json(f"servers/{instance.id}", entry(place.address))
+        store.put_json("op/config", document or configuration())
+        made = settings(served.address)
+        vm = entry_vm.EntryVm(
+            made, adapter.make(made.feed_address), random.Random(1)
+        )
+        nursery.start_soon(vm.run)
+        built = Running(vm, made, store, instances)
+        await wait_until_ready(built)
+        yield built
+        nursery.cancel_scope.cancel()
+
+
+async def wait_until_ready(built: Running) -> None:
+    with trio.fail_after(START_TIME):
+        while True:
+            try:
+                response = await get(
+                    built.settings.ready_address, "/-/readiness"
+                )
+                served = await get(built.settings.caller_address, "/")
+            except httpcore.ConnectError:
+                await trio.sleep(0.05)
+                continue
+            if response.status == 200 and served.status == 404:
+                return
+            await trio.sleep(0.05)
+
+
+async def get(address: str, target: str) -> httpcore.Response:
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("GET", f"http://{address}{target}")
+
+
+async def call(
+    built: Running,
+    target: str,
+    request_id: str = "r1",
+    method: str = "GET",
+    time_left: int = 2000,
+    content: typing.Any = None,
+) -> httpcore.Response:
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request(
+            method,
+            f"http://{built.settings.caller_address}{target}",
+            headers={
+                "host": HOST,
+                "primrosemill-request-id": request_id,
+                "primrosemill-request-deadline": str(time_left),
+            },
+            content=content,
+        )
+
+
+def header(response: httpcore.Response, name: str) -> str | None:
+    for each_name, value in response.headers:
+        if each_name.lower() == name.encode():
+            return value.decode()
+    return None
+
+
+def runs(built: Running) -> list[users_instance.Run]:
+    """Return what all instances ran."""
+    return [run for each in built.instances for run in each.runs]
