--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -58,6 +58,7 @@
         self._wishes_by_ticket: dict[int, dispatch.Wish] = {}
         self._next_ticket = 0
         self._last_progress = now
+        self._answers = waiting_line.Rate()
 
     @property
     def waiting(self) -> int:
@@ -69,7 +70,9 @@
     ) -> Granted | Waiting | waiting_line.Refused:
         """Grant a slot, let the request wait or refuse it."""
         route = wish.route
-        self._line.note_arrival(route.priority, now)
+        if not wish.excluded and wish.only is None:
+            # A further attempt is no further request.
+            self._line.note_arrival(route.priority, now)
         if not self.balance.size:
             return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
         if not self._line:
@@ -105,6 +108,9 @@
     ) -> None:
         """Give a slot back that was held for so many seconds."""
         self._last_progress = now
+        if end is pool.End.ANSWERED:
+            self._answers.note(now)
+        self.balance.usual_time = self.times.overall
         self.balance.release(instance_id, now - held)
         if end is pool.End.SHED:
             self.balance.note_shed(instance_id, now)
@@ -121,10 +127,15 @@
     def wake(self, now: float) -> list[Wakeup]:
         """Grant free slots in order, and refuse whom none can serve."""
         wakeups = []
+        unmet: set[balance.Need] = set()
         for waiter in self._line.in_order(now):
             wish = self._wishes_by_ticket[waiter.ticket]
-            instance = self._choose(wish, now)
+            need = self._need(wish, now)
+            if need in unmet:
+                continue
+            instance = self.balance.choose(need, now)
             if instance is None:
+                unmet.add(need)
                 continue
             self.leave(waiter.ticket)
             wakeups.append(Wakeup(waiter.ticket, Granted(instance)))
@@ -140,16 +151,18 @@
         return self.balance.next_chance(now) if self._line else None
 
     def drain_rate(self, now: float) -> float | None:
-        """Return the requests a second that leave the slots held here.
+        """Return the requests a second that are served here.
 
         By Little's law that is the slots held divided by the usual time.
-        When none is given back for longer, that time stands for it.
+        When none is given back for longer, that time stands for it. Where
+        instances shed, few slots are held and the answers tell more.
         """
         busy = self.balance.busy
         if not busy:
             return None
         quiet = now - self._last_progress
-        return busy / max(self.times.overall, quiet)
+        by_slots = busy / max(self.times.overall, quiet)
+        return max(by_slots, self._answers.per_second(now))
 
     def _refuse(
         self, reason: outcomes.RefusalReason, now: float
@@ -161,12 +174,13 @@
     def _choose(
         self, wish: dispatch.Wish, now: float
     ) -> documents.Instance | None:
+        return self.balance.choose(self._need(wish, now), now)
+
+    def _need(self, wish: dispatch.Wish, now: float) -> balance.Need:
         route = wish.route
         local = False
         if route.large_bodies and wish.only is None:
             patience = LOCAL_PATIENCE * (route.target or route.deadline)
             waited = now - wish.arrived
             local = waited < patience and self.balance.has_local(now)
-        need = balance.Need(wish.idempotent, wish.excluded, wish.only, local)
-        self.balance.usual_time = self.times.overall
-        return self.balance.choose(need, now)
+        return balance.Need(wish.idempotent, wish.excluded, wish.only, local)
--- a/packages/decisions/src/primrosemill/decisions/waiting_line.py
+++ b/packages/decisions/src/primrosemill/decisions/waiting_line.py
@@ -6,6 +6,7 @@
 can't be served before its deadline, so that nobody waits in vain.
 """
 
+import math
 import typing
 
 from primrosemill.decisions import outcomes
@@ -39,7 +40,7 @@
     wait: float
 
 
-class _Rate:
+class Rate:
     """Counts events a second, as a moving average."""
 
     def __init__(self) -> None:
@@ -56,8 +57,7 @@
         return self._faded(now) / RATE_WINDOW
 
     def _faded(self, now: float) -> float:
-        age = (now - self._at) / RATE_WINDOW
-        return self._count / (1.0 + age) ** 2
+        return self._count * math.exp((self._at - now) / RATE_WINDOW)
 
 
 class WaitingLine:
@@ -66,14 +66,14 @@
     def __init__(self, capacity: int = CAPACITY) -> None:
         self._capacity = capacity
         self._waiters_by_ticket: dict[int, Waiter] = {}
-        self._arrivals_by_priority: dict[int, _Rate] = {}
+        self._arrivals_by_priority: dict[int, Rate] = {}
 
     def __len__(self) -> int:
         return len(self._waiters_by_ticket)
 
     def note_arrival(self, priority: int, now: float) -> None:
         """Count a request, whether it has to wait or not."""
-        rate = self._arrivals_by_priority.setdefault(priority, _Rate())
+        rate = self._arrivals_by_priority.setdefault(priority, Rate())
         rate.note(now)
 
     def join(
@@ -108,11 +108,7 @@
         """Return the waiters in the order in which they should go."""
         return sorted(
             self._waiters_by_ticket.values(),
-            key=lambda waiter: (
-                waiter.priority,
-                _is_late(waiter, now),
-                waiter.ticket,
-            ),
+            key=lambda waiter: _key(waiter, now),
         )
 
     def hopeless(self, now: float, drain_rate: float | None) -> list[Waiter]:
@@ -122,10 +118,10 @@
         when those that come take up all that is served.
         """
         found = []
-        for waiter in list(self._waiters_by_ticket.values()):
+        for ahead, waiter in enumerate(self.in_order(now)):
             if not _is_late(waiter, now):
                 continue
-            wait = self.estimate_wait(waiter, now, drain_rate)
+            wait = self._wait_behind(ahead, waiter, now, drain_rate)
             if self._is_hopeless(waiter, wait, now):
                 del self._waiters_by_ticket[waiter.ticket]
                 found.append(waiter)
@@ -135,18 +131,23 @@
         self, waiter: Waiter, now: float, drain_rate: float | None
     ) -> float:
         """Return how long a request will wait, in seconds."""
+        own_key = _key(waiter, now)
+        ahead = sum(
+            _key(other, now) < own_key
+            for other in self._waiters_by_ticket.values()
+        )
+        return self._wait_behind(ahead, waiter, now, drain_rate)
+
+    def _wait_behind(
+        self, ahead: int, waiter: Waiter, now: float, drain_rate: float | None
+    ) -> float:
+        """Return the wait of a request with so many ahead of it."""
         if not drain_rate:
             return 0.0
         late = _is_late(waiter, now)
-        ahead = 0
-        for other in self._waiters_by_ticket.values():
-            if other.ticket == waiter.ticket:
-                continue
-            key = (other.priority, _is_late(other, now), other.ticket)
-            ahead += key < (waiter.priority, late, waiter.ticket)
         left = drain_rate - self._overtaking(waiter, late, now)
         if left <= 0.0:
-            return float("inf") if ahead or late else 0.0
+            return math.inf if ahead or late else 0.0
         return ahead / left
 
     def retry_after(self, drain_rate: float | None) -> float:
@@ -171,6 +172,11 @@
         return left <= 0.0 or wait > CAUTION * left
 
 
+def _key(waiter: Waiter, now: float) -> tuple[int, bool, int]:
+    """Return what the order of the line goes by."""
+    return waiter.priority, _is_late(waiter, now), waiter.ticket
+
+
 def _is_late(waiter: Waiter, now: float) -> bool:
     """Tell whether an answer will probably miss the target."""
     return now + waiter.work > waiter.target
--- /dev/null
+++ b/tests/builders/load.py
@@ -0,0 +1,213 @@
+"""Plays a load pattern on one allocation, in virtual time."""
+
+import heapq
+import itertools
+import random
+import typing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import allocation
+from primrosemill.decisions import balance
+from primrosemill.decisions import dispatch
+from primrosemill.decisions import pool
+from primrosemill.decisions import waiting_line
+
+DOMAIN = "ain-sebaa"
+URGENT = documents.Route(
+    "host", "/bookings/", (), False, 2.5, "urgent", 0.6, 1, 2
+)
+PATIENT = documents.Route(
+    "host", "/slots/", (), True, 2.5, "patient", 0.6, 2, 2
+)
+INSTANCE_QUEUE = 12  # requests that an instance holds beyond its slots
+
+
+class Pattern(typing.NamedTuple):
+    """A load: requests a second by route, over some seconds."""
+
+    rates: dict[documents.Route, float]
+    seconds: float = 20.0
+    work: float = 0.2
+    returns: int = 0
+
+
+class Outcome(typing.NamedTuple):
+    """How one request ended; times in seconds."""
+
+    route: documents.Route
+    arrived: float
+    ended: float
+    served: bool
+    returned: int
+
+
+class Instance:
+    """An instance with slots, a queue and a speed; may shed or fail."""
+
+    def __init__(self, number: int, slots: int = 3, **changes) -> None:
+        self.record = documents.Instance(
+            f"i-{number}", "10.0.0.1", 1 + number, DOMAIN, slots=slots
+        )
+        self.slow = changes.get("slow", 1.0)
+        self.sheds = changes.get("sheds", 0.0)
+        self.dead_from = changes.get("dead_from", float("inf"))
+        self.running = 0
+        self.queue: list[tuple] = []
+        self.taken = 0
+
+
+class Play:
+    """One run of a pattern."""
+
+    def __init__(
+        self, instances: list[Instance], pattern: Pattern, seed: int = 1
+    ) -> None:
+        self.instances_by_id = {each.record.id: each for each in instances}
+        self.pattern = pattern
+        self.generator = random.Random(seed)
+        self.allocation = allocation.Allocation(DOMAIN, self.generator, 0.0)
+        self.allocation.balance.set_instances(
+            [each.record for each in instances], 0.0
+        )
+        self.outcomes: list[Outcome] = []
+        self.attempts_at: list[tuple[float, str]] = []
+        self._count = itertools.count()
+        self._events: list[tuple] = []
+        self._waiting: dict[int, tuple] = {}
+
+    def run(self) -> list[Outcome]:
+        """Play all requests to their ends."""
+        for route, rate in self.pattern.rates.items():
+            time = 0.0
+            while time < self.pattern.seconds:
+                time += self.generator.expovariate(rate)
+                self._at(time, self._arrive, (route, time, 0))
+        while self._events:
+            now, _, act, args = heapq.heappop(self._events)
+            act(now, *args)
+            self._wake(now)
+        return self.outcomes
+
+    def share(self, route: documents.Route, in_time: bool = False) -> float:
+        """Return the share of a route's requests that was served."""
+        found = [each for each in self.outcomes if each.route is route]
+        served = [
+            each
+            for each in found
+            if each.served
+            and (not in_time or each.ended - each.arrived <= route.target)
+        ]
+        return len(served) / len(found)
+
+    def _at(self, time: float, act, args: tuple) -> None:
+        heapq.heappush(self._events, (time, next(self._count), act, args))
+
+    def _arrive(self, now, route, arrived, returned, tried=()) -> None:
+        only = None
+        if len(tried) >= route.most_instances:
+            only = frozenset(tried)
+        wish = dispatch.Wish(
+            "caller",
+            arrived + route.deadline,
+            route.idempotent,
+            frozenset(() if only else tried),
+            only,
+            route,
+            arrived,
+        )
+        request = (route, arrived, returned, wish, tried)
+        asked = self.allocation.ask(wish, now)
+        if isinstance(asked, allocation.Waiting):
+            self._waiting[asked.ticket] = request
+            self._at(wish.deadline, self._expire, (asked.ticket,))
+        else:
+            self._tell(now, request, asked)
+
+    def _tell(self, now, request, told) -> None:
+        if isinstance(told, waiting_line.Refused):
+            self._end(now, request, False)
+            return
+        instance = self.instances_by_id[told.instance.id]
+        instance.taken += 1
+        self.attempts_at.append((now, told.instance.id))
+        if now >= instance.dead_from:
+            self._give_back(now, request, instance, now, pool.End.FAILED)
+            self.allocation.balance.avoidance.failed(told.instance.id, now)
+            self._retry(now, request, told.instance.id)
+        elif self._is_shed(instance):
+            self._give_back(now, request, instance, now, pool.End.SHED)
+            self._retry(now, request, told.instance.id)
+        else:
+            instance.queue.append((request, now))
+            self._start(now, instance)
+
+    def _is_shed(self, instance: Instance) -> bool:
+        if len(instance.queue) >= INSTANCE_QUEUE:
+            return True
+        return self.generator.random() < instance.sheds
+
+    def _start(self, now, instance: Instance) -> None:
+        if instance.running >= instance.record.slots or not instance.queue:
+            return
+        request, sent = instance.queue.pop(0)
+        instance.running += 1
+        work = self.generator.lognormvariate(0.0, 0.4) * self.pattern.work
+        self._at(
+            now + work * instance.slow, self._finish, (request, instance, sent)
+        )
+
+    def _finish(self, now, request, instance: Instance, sent) -> None:
+        load = balance.Load(
+            instance.running, len(instance.queue), instance.record.slots
+        )
+        instance.running -= 1
+        self._give_back(now, request, instance, sent, pool.End.ANSWERED)
+        instance_id = instance.record.id
+        self.allocation.balance.note_load(instance_id, load, now)
+        times = self.allocation.times
+        name = request[0].name
+        ratio = None
+        if times.known(name):
+            ratio = (now - sent) / times.usual(name)
+        times.note(name, now - sent)
+        self.allocation.balance.avoidance.succeeded(instance_id, ratio, now)
+        self._end(now, request, now <= request[3].deadline)
+        self._start(now, instance)
+
+    def _give_back(self, now, request, instance, sent, end) -> None:
+        instance_id = instance.record.id
+        self.allocation.release(instance_id, now - sent, end, now)
+
+    def _retry(self, now, request, instance_id) -> None:
+        route, arrived, attempts, _, tried = request
+        if attempts >= 3:
+            self._end(now, request, False)
+            return
+        tried = tuple({*tried, instance_id})
+        self._at(
+            now + 0.005, self._arrive, (route, arrived, attempts + 1, tried)
+        )
+
+    def _expire(self, now, ticket) -> None:
+        request = self._waiting.pop(ticket, None)
+        if request is not None:
+            self.allocation.leave(ticket)
+            self._end(now, request, False)
+
+    def _wake(self, now) -> None:
+        for wakeup in self.allocation.wake(now):
+            self._tell(now, self._waiting.pop(wakeup.ticket), wakeup.told)
+        due = self.allocation.next_wake(now)
+        if due is not None and not any(
+            each[2] == self._look for each in self._events
+        ):
+            self._at(due, self._look, ())
+
+    def _look(self, now) -> None:
+        """Let :meth:`_wake` run."""
+
+    def _end(self, now, request, served) -> None:
+        route, arrived, returned, *_ = request
+        self.outcomes.append(Outcome(route, arrived, now, served, returned))
+        if not served and returned < self.pattern.returns:
+            self._at(now, self._arrive, (route, now, returned + 1))
--- /dev/null
+++ b/tests/decisions/test_balance.py
@@ -0,0 +1,129 @@
+import random
+
+import testtools
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import balance
+
+ONCE = balance.Need(False)
+AGAIN = balance.Need(True)
+NEAR = "ain-sebaa"
+FAR = "hay-riad"
+
+
+def instance(number, domain=NEAR, **changes):
+    made = documents.Instance(
+        f"i-{number}", "10.0.0.1", number + 1, domain, slots=2
+    )
+    return made._replace(**changes)
+
+
+class BalanceTest(testtools.TestCase):
+    def make(self, *instances):
+        made = balance.Balance(NEAR, random.Random(1))
+        made.set_instances(instances, 0.0)
+        return made
+
+    def test_slots_are_filled_and_no_more(self):
+        made = self.make(instance(0), instance(1))
+        ids = [made.choose(ONCE, 1.0).id for _ in range(4)]
+        self.assertEqual(["i-0", "i-1"] * 2, sorted(ids)[::2] * 2)
+        self.assertIsNone(made.choose(ONCE, 1.0))
+
+    def test_the_own_failure_domain_goes_first(self):
+        made = self.make(instance(0, FAR), instance(1))
+        ids = [made.choose(ONCE, 1.0).id for _ in range(3)]
+        self.assertEqual(["i-1", "i-1", "i-0"], ids)
+
+    def test_a_large_body_stays_in_the_own_domain(self):
+        made = self.make(instance(0, FAR), instance(1))
+        need = balance.Need(False, local=True)
+        for _ in range(2):
+            self.assertEqual("i-1", made.choose(need, 1.0).id)
+        self.assertIsNone(made.choose(need, 1.0))
+
+    def test_leaving_and_tried_instances_get_nothing(self):
+        made = self.make(
+            instance(0, state=documents.LEAVING), instance(1), instance(2)
+        )
+        need = balance.Need(False, excluded=frozenset({"i-1"}))
+        self.assertEqual("i-2", made.choose(need, 1.0).id)
+
+    def test_a_request_may_be_kept_to_the_instances_it_was_sent_to(self):
+        made = self.make(instance(0), instance(1))
+        need = balance.Need(False, only=frozenset({"i-1"}))
+        self.assertEqual("i-1", made.choose(need, 1.0).id)
+
+    def test_what_others_do_there_counts_until_it_fades(self):
+        made = self.make(instance(0), instance(1))
+        # Two requests of others and the one that is answered.
+        made.note_load("i-0", balance.Load(2, 1, 2), 1.0)
+        ids = {made.choose(ONCE, 1.0).id for _ in range(2)}
+        self.assertEqual({"i-1"}, ids)
+        self.assertIsNone(made.choose(ONCE, 1.0))
+        self.assertEqual("i-0", made.choose(ONCE, 1.5).id)
+
+    def test_an_instance_that_shed_rests_for_a_moment(self):
+        made = self.make(instance(0))
+        made.note_shed("i-0", 1.0)
+        self.assertIsNone(made.choose(ONCE, 1.01))
+        self.assertIsNotNone(made.choose(ONCE, 1.5))
+
+    def test_an_avoided_instance_gets_nothing(self):
+        made = self.make(*(instance(number) for number in range(4)))
+        made.avoidance.failed("i-2", 1.0)
+        ids = [made.choose(ONCE, 1.1).id for _ in range(6)]
+        self.assertNotIn("i-2", ids)
+        self.assertIsNone(made.choose(ONCE, 1.1))
+
+    def test_the_floor_stays_in_use_whatever_is_suspected(self):
+        made = self.make(*(instance(number) for number in range(10)))
+        for number in range(10):
+            made.avoidance.failed(f"i-{number}", 1.0)
+        ids = {made.choose(ONCE, 1.1).id for _ in range(14)}
+        self.assertEqual(7, len(ids))
+
+    def test_a_repeatable_request_tries_an_instance_first(self):
+        made = self.make(*(instance(number) for number in range(4)))
+        made.avoidance.failed("i-3", 1.0)
+        self.assertNotEqual("i-3", made.choose(ONCE, 2.5).id)
+        self.assertEqual("i-3", made.choose(AGAIN, 2.5).id)
+        # One at a time.
+        self.assertNotEqual("i-3", made.choose(AGAIN, 2.5).id)
+
+    def test_requests_that_run_once_go_where_all_was_well_lately(self):
+        made = self.make(*(instance(number) for number in range(3)))
+        made.note_well("i-1", 9.0)
+        made.note_well("i-2", 7.0)
+        self.assertEqual("i-1", made.choose(ONCE, 9.2).id)
+        self.assertEqual("i-0", made.choose(AGAIN, 9.2).id)
+
+    def test_an_instance_that_holds_a_request_too_long_is_avoided(self):
+        made = self.make(*(instance(number) for number in range(4)))
+        made.usual_time = 0.1
+        first = made.choose(ONCE, 1.0).id
+        ids = {made.choose(ONCE, 3.0).id for _ in range(6)}
+        self.assertNotIn(first, ids)
+
+    def test_another_boot_under_an_id_is_another_instance(self):
+        made = self.make(instance(0, boot=1), instance(1))
+        made.avoidance.failed("i-0", 1.0)
+        made.choose(ONCE, 1.0)
+        made.set_instances([instance(0, boot=2), instance(1)], 1.1)
+        self.assertEqual(0, made.busy_at("i-0"))
+        self.assertEqual(0.0, made.avoidance.failures("i-0"))
+
+    def test_a_cold_instance_counts_as_busier(self):
+        made = self.make(instance(0, cold_for=3.0), instance(1))
+        self.assertEqual("i-1", made.choose(ONCE, 1.0).id)
+
+    def test_a_slot_is_given_back_by_the_time_it_was_taken(self):
+        made = self.make(instance(0))
+        made.choose(ONCE, 1.0)
+        made.choose(ONCE, 2.0)
+        made.release("i-0", 1.02)
+        self.assertEqual(1, made.busy)
+        made.release("i-0", 2.0)
+        made.release("i-0", 2.0)
+        made.release("gone", 2.0)
+        self.assertEqual(0, made.busy)
--- /dev/null
+++ b/tests/decisions/test_entry_points.py
@@ -0,0 +1,50 @@
+import testtools
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import entry_points
+from primrosemill.decisions import homes
+
+DOMAINS = ("a", "b", "c")
+
+
+def vms(count=30):
+    return tuple(
+        homes.Vm(f"vm-{number}", DOMAINS[number % 3])
+        for number in range(count)
+    )
+
+
+class EntryPointsTest(testtools.TestCase):
+    def test_callers_get_a_few_vms_of_their_own_domain(self):
+        found = entry_points.entry_points(entry_points.View(vms(), 60), "b")
+        self.assertEqual(entry_points.LEAST_ENTRY_POINTS, len(found))
+        self.assertEqual({"b"}, {vm.domain for vm in found})
+
+    def test_more_slots_need_more_vms(self):
+        view = entry_points.View(vms(), 300)
+        found = entry_points.entry_points(view, "b")
+        self.assertEqual(8, len(found))
+
+    def test_a_vm_that_goes_moves_its_own_place_only(self):
+        before = entry_points.entry_points(entry_points.View(vms(), 60), "a")
+        left = tuple(vm for vm in vms() if vm != before[0])
+        after = entry_points.entry_points(entry_points.View(left, 60), "a")
+        self.assertIn(before[1], after)
+
+    def test_a_domain_without_vms_is_served_by_the_others(self):
+        found = entry_points.entry_points(entry_points.View(vms(), 60), "d")
+        self.assertEqual(set(DOMAINS), {vm.domain for vm in found})
+
+    def test_every_instance_of_the_domain_has_one_lead(self):
+        view = entry_points.View(vms(), 60)
+        points = entry_points.entry_points(view, "a")
+        instances = [
+            documents.Instance(f"i-{number}", "10.0.0.1", 1, "a")
+            for number in range(7)
+        ]
+        led = [entry_points.led_ids(vm, points, instances) for vm in points]
+        self.assertEqual(7, sum(len(each) for each in led))
+        other = next(vm for vm in vms() if vm not in points)
+        self.assertEqual(
+            frozenset(), entry_points.led_ids(other, points, instances)
+        )
