--- a/packages/cli/src/primrosemill/cli/check.py
+++ b/packages/cli/src/primrosemill/cli/check.py
@@ -14,10 +14,12 @@
 from primrosemill.configuration import files
 from primrosemill.configuration import unknown
 from primrosemill.configuration import values
+from primrosemill.proxy import entry_settings
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import settings_faults
 
 SECTION_START = b"["
+ENTRY_SECTION = b"[listen]"
 COMMENT_STARTS = (b"#", b";")
 
 
@@ -61,7 +63,7 @@
         fault = settings_faults.UnreadableFile(str(path), str(error))
         return Report("", (settings_faults.describe(fault),))
     if is_settings(content):
-        return _check_settings(path)
+        return _check_settings(path, content)
     return _check_document(path, content)
 
 
@@ -75,8 +77,12 @@
     return True
 
 
-def _check_settings(path: pathlib.Path) -> Report:
-    result = proxy_settings.read(path)
+def _check_settings(path: pathlib.Path, content: bytes) -> Report:
+    """Check settings; those of an entry VM have a section of their own."""
+    read = proxy_settings.read
+    if ENTRY_SECTION in content:
+        read = entry_settings.read
+    result = read(path)
     if result.is_error():
         lines = tuple(map(settings_faults.describe, result.error))
         return Report("", lines)
--- /dev/null
+++ b/packages/cli/src/primrosemill/cli/explain.py
@@ -0,0 +1,137 @@
+"""Gathers what the logs of several VMs say of one request."""
+
+import pathlib
+import typing
+
+import click
+import msgspec
+
+from primrosemill.cli import exits
+from primrosemill.cli import tables
+
+HEADS = ("SECONDS", "VM", "EVENT", "DETAILS")
+# What each line has, which says nothing of the request.
+LEFT_OUT = frozenset(
+    {
+        *("timestamp", "task_uuid", "task_level", "message_type"),
+        *("event", "level", "request_id"),
+    }
+)
+
+
+class Line(typing.NamedTuple):
+    """One line on the request; the time is in seconds since the epoch."""
+
+    time: float
+    vm: str
+    event: str
+    details: dict[str, typing.Any]
+
+
+class Found(typing.NamedTuple):
+    """The lines on a request in order, and how many others were damaged."""
+
+    lines: tuple[Line, ...]
+    damaged: int
+
+
+class UnknownRequest(typing.NamedTuple):
+    """No line of the logs names the request."""
+
+    request_id: str
+    lines_read: int
+
+
+@click.command("explain", epilog=exits.HELP)
+@click.argument("request_id")
+@click.argument(
+    "paths",
+    metavar="[FILE]...",
+    nargs=-1,
+    type=click.Path(
+        exists=True, dir_okay=False, allow_dash=True, path_type=pathlib.Path
+    ),
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def command(
+    request_id: str, paths: tuple[pathlib.Path, ...], as_json: bool
+) -> None:
+    """Show all that logs say of the request REQUEST_ID, in order.
+
+    Each FILE is the log of one VM, whose name is that of the file, or of
+    several with the VM's name before each line. Without one, or for "-",
+    standard input is read. Lines that are no whole JSON object are counted.
+    """
+    lines: list[Line] = []
+    read, damaged = 0, 0
+    for path in paths or (pathlib.Path("-"),):
+        with click.open_file(str(path), errors="replace") as log:
+            content = log.read().splitlines()
+        found = find(request_id, content, path.stem)
+        lines += found.lines
+        damaged += found.damaged
+        read += len(content)
+    if damaged:
+        click.echo(f"{damaged} damaged lines were left out", err=True)
+    if not lines:
+        fault = UnknownRequest(request_id, read)
+        exits.stop(exits.Status.BAD_INPUT, [_describe(fault)])
+    lines.sort(key=lambda line: (line.time, line.vm))
+    if as_json:
+        click.echo(msgspec.json.encode(lines))
+        return
+    for text in lay_out(lines):
+        click.echo(text)
+
+
+def find(
+    request_id: str, content: typing.Iterable[str], file_name: str
+) -> Found:
+    """Return the lines of one log that name a request."""
+    lines = []
+    damaged = 0
+    for text in content:
+        prefix, brace, rest = text.partition("{")
+        if not brace or request_id not in rest:
+            continue
+        try:
+            record = msgspec.json.decode(brace + rest)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            damaged += 1
+            continue
+        if record.get("request_id") != request_id:
+            continue
+        words = prefix.split()
+        details = {
+            key: value for key, value in record.items() if key not in LEFT_OUT
+        }
+        lines.append(
+            Line(
+                record.get("timestamp", 0.0),
+                words[-1] if words else file_name,
+                record.get("event", ""),
+                details,
+            )
+        )
+    return Found(tuple(lines), damaged)
+
+
+def lay_out(lines: list[Line]) -> list[str]:
+    """Return a table with times since the first line."""
+    rows = [
+        (
+            f"{line.time - lines[0].time:.4f}",
+            line.vm,
+            line.event,
+            ", ".join(f"{key}={value}" for key, value in line.details.items()),
+        )
+        for line in lines
+    ]
+    return tables.lay_out(HEADS, rows)
+
+
+def _describe(fault: UnknownRequest) -> str:
+    return (
+        f"{type(fault).__name__}: request_id={fault.request_id!r} "
+        f"lines_read={fault.lines_read}"
+    )
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -6,6 +6,7 @@
 from primrosemill.cli import check
 from primrosemill.cli import entry
 from primrosemill.cli import exits
+from primrosemill.cli import explain
 from primrosemill.cli import proxy
 from primrosemill.cli import status
 from primrosemill.cli import version
@@ -16,6 +17,7 @@
     check.command,
     status.command,
     addresses.command,
+    explain.command,
     version.command,
 )
 
--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -154,15 +154,7 @@
 
     async def _read_until_failure(self) -> None:
         result = await self._feed.read()
-        while True:
-            if result.is_error():
-                if not isinstance(result.error, feed.HistoryGone):
-                    self._choice.note_failure(trio.current_time())
-                    self._observe(observations.StoreFailed(result.error))
-                    return
-                self._observe(observations.HistoryLost(result.error.after))
-                result = await self._feed.read()
-                continue
+        while result.is_ok():
             self._note_answer()
             await self._take_read(result.ok)
             if self._choice.should_stop(self._readers_heard()):
@@ -170,7 +162,17 @@
             self._view.set_watching(True)
             if result.ok.batch.items:
                 await trio.sleep(WATCH_PAUSE)
-            result = await self._feed.watch(self.mirror.revision, WATCH_WAIT)
+            result = await self._watch()
+        self._choice.note_failure(trio.current_time())
+        self._observe(observations.StoreFailed(result.error))
+
+    async def _watch(self) -> feed.ReadResult:
+        """Wait for changes; where they were forgotten, read all again."""
+        result = await self._feed.watch(self.mirror.revision, WATCH_WAIT)
+        if result.is_error() and isinstance(result.error, feed.HistoryGone):
+            self._observe(observations.HistoryLost(result.error.after))
+            return await self._feed.read()
+        return result
 
     def _note_answer(self) -> None:
         self._choice.note_success()
--- a/packages/platform/src/primrosemill/platform/entries.py
+++ b/packages/platform/src/primrosemill/platform/entries.py
@@ -24,6 +24,8 @@
     address: str
     # The failure domain.
     zone: str
+    # Of the instance's software, not of this entry.
+    version: str
     slots: Positive
     state: typing.Literal["ready", "draining"]
     # How long the instance is still slow after its start, in milliseconds.
--- a/packages/telemetry/src/primrosemill/telemetry/output.py
+++ b/packages/telemetry/src/primrosemill/telemetry/output.py
@@ -42,9 +42,12 @@
             return
         data = self._encoder.encode(line) + b"\n"
         if self.left_out:
-            count, self.left_out = self.left_out, 0
-            data += self._encoder.encode({"lines_left_out": count}) + b"\n"
-        self._write(data)
+            told = {"lines_left_out": self.left_out}
+            data += self._encoder.encode(told) + b"\n"
+        if self._write(data):
+            self.left_out = 0
+        else:
+            self.left_out += 1
 
     def _admit(self) -> bool:
         now = self._clock()
@@ -56,13 +59,14 @@
         self._allowed -= 1.0
         return True
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, data: bytes) -> bool:
+        """Write or keep the data; tells whether there was room for it."""
         self._flush()
         if len(self._pending) + len(data) > BUFFER_SIZE:
-            self.left_out += data.count(b"\n")
-            return
+            return False
         self._pending += data
         self._flush()
+        return True
 
     def _flush(self) -> None:
         """Write what the reader takes now."""
@@ -73,7 +77,6 @@
                 return
             except OSError:
                 # The reader is gone for good; the VM serves on.
-                self.left_out += self._pending.count(b"\n")
                 self._pending.clear()
                 return
             del self._pending[:written]
--- /dev/null
+++ b/tests/fleet/test_feed_follower.py
@@ -0,0 +1,118 @@
+import random
+
+import testtools
+import trio
+
+from primrosemill.fleet import membership
+from primrosemill.fleet import messages
+from primrosemill.fleet import node
+from tests.builders import feeds as builders
+
+IP = "127.0.0.1"
+FIRST = builders.whole(builders.routing(2, 1), builders.seen(3, 0))
+
+
+class Vm:
+    """A node with a feed of its own, and what its daemon was told."""
+
+    def __init__(self, number, source, first_peers=()):
+        self.changes = []
+        hooks = node.Hooks(
+            lambda document: None,
+            on_change=lambda applied, told_by, now: self.changes.append(
+                (applied, told_by)
+            ),
+        )
+        identity = node.Identity(
+            "fleet", f"vm-{number}", IP, 0, "a", 1_000 + number
+        )
+        self.node = node.Node(
+            identity,
+            first_peers,
+            node.Platform(None, source=source),
+            hooks,
+            random.Random(number),
+        )
+
+    def ids(self):
+        held = self.node.follower.mirror.discovered(trio.current_time())
+        return sorted(each.instance.id for each in held)
+
+
+async def until(condition, seconds=8.0):
+    with trio.fail_after(seconds):
+        while not condition():
+            await trio.sleep(0.02)
+
+
+def run_two(check, second_fault=None):
+    """Run two VMs; the second one's feed may be out of reach."""
+
+    async def main():
+        source = builders.FeedFake(FIRST)
+        other = builders.FeedFake(FIRST)
+        other.fault = second_fault
+        first = Vm(1, source)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(first.node.run)
+            second = Vm(2, other, (membership.Peer(IP, port),))
+            await nursery.start(second.node.run)
+            for vm in (first, second):
+                await until(lambda vm=vm: vm.ids() == ["i-0"])
+            await check(first, second, source, other)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class FeedFollowerTest(testtools.TestCase):
+    def test_a_vm_that_the_feed_rejects_learns_from_its_peer(self):
+        async def check(first, second, source, other):
+            source.changes.append(builders.batch(3, builders.seen(4, 1)))
+            started = trio.current_time()
+            await until(lambda: second.ids() == ["i-0", "i-1"])
+            self.assertTrue(trio.current_time() - started < 1.0)
+            self.assertEqual("vm-1", second.changes[-1][1])
+
+        run_two(check, builders.UNREACHABLE)
+
+    def test_a_large_change_is_pulled(self):
+        async def check(first, second, source, other):
+            items = [builders.seen(4 + n, 10 + n) for n in range(200)]
+            source.changes.append(builders.batch(3, *items))
+            await until(lambda: len(second.ids()) == 201)
+
+        run_two(check, builders.UNREACHABLE)
+
+    def test_a_forgotten_history_is_read_anew(self):
+        async def check(first, second, source, other):
+            source.whole = builders.whole(
+                builders.routing(2, 1), builders.seen(9, 5)
+            )
+            other.whole = source.whole
+            source.forgotten = True
+            await until(lambda: first.ids() == ["i-5"])
+
+        run_two(check, builders.UNREACHABLE)
+
+    def test_a_vm_serves_only_once_it_said_so(self):
+        async def check(first, second, source, other):
+            states = first.node.membership
+            self.assertTrue(second.node.membership.own.leaving)
+            await second.node.announce_serving()
+            await until(lambda: "vm-2" in states.usable_ids())
+
+        run_two(check)
+
+    def test_vms_of_a_domain_hear_of_a_suspicion(self):
+        async def check(first, second, source, other):
+            heard = []
+            second.node._hooks = second.node._hooks._replace(
+                on_suspicion=lambda told, domain: heard.append((told, domain))
+            )
+            told = messages.Suspicion("reservations", "i-0", 7, 1.5)
+            await first.node.tell_suspicion(told)
+            await until(lambda: heard)
+            self.assertEqual([(told, "a")], heard)
+
+        run_two(check)
--- /dev/null
+++ b/tests/proxy/test_entry_settings.py
@@ -0,0 +1,97 @@
+import os
+import pathlib
+import re
+import signal
+import tempfile
+
+import testtools
+import trio
+
+from primrosemill.proxy import entry_settings
+from primrosemill.proxy import reloading
+from primrosemill.proxy import settings_faults as faults
+from primrosemill.proxy import settings_schema as schema
+from tests.builders import entry_settings as builders
+
+PAGE = pathlib.Path(__file__).parents[2] / "docs" / "deploy.md"
+
+
+class EntrySettingsTest(testtools.TestCase):
+    def test_a_complete_file_has_no_fault(self):
+        found = entry_settings.parse(builders.text("127.0.0.2:8146"), "x.ini")
+        self.assertEqual(("127.0.0.2:8146",), found.ok.first_peers)
+        fleet_settings = found.ok.vm_settings()
+        self.assertEqual("127.0.0.1", fleet_settings.ip)
+        self.assertEqual(8146, fleet_settings.peer_port)
+
+    def test_an_empty_list_of_peers_is_no_fault(self):
+        found = entry_settings.parse(builders.text(), "x.ini")
+        self.assertEqual((), found.ok.first_peers)
+
+    def test_each_fault_is_told(self):
+        text = builders.text().replace("127.0.0.1:8144", "localhost")
+        text = text.replace("domain = ain-sebaa\n", "odd = 1\n")
+        found = entry_settings.parse(text, "x.ini").error
+        self.assertEqual(
+            {faults.UnknownKey, faults.MissingKey, faults.WrongType},
+            set(map(type, found)),
+        )
+
+    def test_the_page_describes_every_key(self):
+        rows = re.findall(
+            r"^\| `(\w+)` \| `(\w+)` \| (.*) \| (.*) \| (.*) \|$",
+            PAGE.read_text(),
+            re.MULTILINE,
+        )
+        expected = [
+            (
+                key.section,
+                key.name,
+                schema.describe(key.form),
+                "required" if key.default is None else f"`{key.default}`",
+                key.meaning,
+            )
+            for key in entry_settings.KEYS
+        ]
+        self.assertEqual(expected, rows)
+
+
+class ReloadingTest(testtools.TestCase):
+    def follow(self, act):
+        """Reload while something happens to the file; returns what was."""
+        reloaded = []
+
+        async def main(path):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    reloading.follow,
+                    path,
+                    lambda settings, cause: reloaded.append(
+                        (settings.first_peers, cause)
+                    ),
+                )
+                await trio.sleep(0.1)
+                act(path)
+                await trio.sleep(reloading.CHECK_INTERVAL + 0.3)
+                nursery.cancel_scope.cancel()
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "entry.ini"
+            path.write_text(builders.text())
+            trio.run(main, path)
+        return reloaded
+
+    def test_a_file_that_changes_is_read_without_a_signal(self):
+        peers = ("127.0.0.9:8146",)
+        found = self.follow(
+            lambda path: path.write_text(builders.text(*peers))
+        )
+        self.assertEqual([(peers, reloading.CHANGED)], found)
+
+    def test_a_signal_reads_the_file(self):
+        found = self.follow(lambda path: os.kill(os.getpid(), signal.SIGHUP))
+        self.assertEqual([((), "SIGHUP")], found)
+
+    def test_a_file_with_faults_changes_nothing(self):
+        found = self.follow(lambda path: path.write_text("[vm]\n"))
+        self.assertEqual([], found)
