--- a/packages/fleet/src/primrosemill/fleet/readers.py
+++ b/packages/fleet/src/primrosemill/fleet/readers.py
@@ -12,7 +12,9 @@
 ATTEMPT_INTERVAL = 0.25  # seconds between looks whether readers are missing
 FIRST_PAUSE = 0.5  # seconds after a failure
 LONGEST_PAUSE = 4.0  # seconds between tries while the feed gives no answer
-FIRST_DELAY = 0.8  # seconds after the start
+# A VM whose first peers answer has the routes by then. After the loss of all
+# VMs nobody has them, and each moment without routes refuses all callers.
+FIRST_DELAY = 0.1  # seconds after the start
 
 
 class Readers:
@@ -20,8 +22,7 @@
 
     def __init__(self, generator: random.Random, now: float) -> None:
         self._generator = generator
-        # By then gossip has told who else is there.
-        self._next_attempt = now + FIRST_DELAY * generator.uniform(0.5, 1.0)
+        self._next_attempt = now + FIRST_DELAY
         self._failures = 0
 
     def should_start(self, now: float, readers: int, vms: int) -> bool:
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -245,6 +245,13 @@
         if verdict is not None:
             self._on_change(Changed(service, instance.boot, verdict, "peer"))
 
+    def usual_time(self, service: str, route: str) -> float | None:
+        """Return how long answers to a route take; None while unknown."""
+        balancer = self._balancers_by_service.get(service)
+        if balancer is None or not balancer.allocation.times.known(route):
+            return None
+        return balancer.allocation.times.usual(route)
+
     def standing(
         self, service: str, instance: documents.Instance
     ) -> standings.Standing:
--- a/packages/proxy/src/primrosemill/proxy/budgets.py
+++ b/packages/proxy/src/primrosemill/proxy/budgets.py
@@ -1,5 +1,7 @@
 """Carries the facts of requests to the retry decisions, by service."""
 
+import typing
+
 from primrosemill.decisions import hedging
 from primrosemill.decisions import retries
 from primrosemill.decisions import retry_budget
@@ -11,15 +13,31 @@
 }
 
 
+# Times the usual answer of a route; few answers take longer, and a second one
+# may still come within the target.
+HEDGE_FACTOR = 2.5
+UsualTime = typing.Callable[[str, str], float | None]
+
+
+def _unknown_time(service: str, route: str) -> float | None:
+    return None
+
+
 class BudgetedRetries:
     """Retries and hedges within a budget for each service.
 
     With ``waits_for_budget`` a request that was shed waits until the budget
-    has filled again; else it is refused at once.
+    has filled again; else it is refused at once. ``usual_time`` returns how
+    long answers to a route take, in seconds, or None while that is unknown.
     """
 
-    def __init__(self, waits_for_budget: bool = True) -> None:
+    def __init__(
+        self,
+        waits_for_budget: bool = True,
+        usual_time: UsualTime = _unknown_time,
+    ) -> None:
         self._waits_for_budget = waits_for_budget
+        self._usual_time = usual_time
         self._share = retry_budget.RETRY_SHARE
         self._reserve = retry_budget.RESERVE
         self._budgets_by_service: dict[str, retry_budget.RetryBudget] = {}
@@ -60,11 +78,16 @@
             retry_after=decision.retry_after,
         )
 
-    def hedge_delay(self, service: str, now: float) -> float | None:
+    def hedge_delay(
+        self, service: str, now: float, route: str = ""
+    ) -> float | None:
         """Return after how long a second attempt may start, or None."""
         budget = self._budget(service)
         if not hedging.affordable(budget):
             return None
+        usual = self._usual_time(service, route)
+        if usual is not None:
+            return HEDGE_FACTOR * usual
         return self._hedging(service).usual_delay
 
     def hedge_started(self, service: str) -> bool:
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -60,7 +60,9 @@
             self._note_trust,
             settings.floor_share,
         )
-        self._retries = budgets.BudgetedRetries(waits_for_budget=False)
+        self._retries = budgets.BudgetedRetries(
+            waits_for_budget=False, usual_time=self._balancers.usual_time
+        )
         self._application = application.Application(
             generator,
             plugs.Plugs(plugs.AdmitAll(), self._balancers, self._retries),
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -270,8 +270,9 @@
         # may run twice.
         if not outgoing.idempotent or not outgoing.body.absent:
             return None
+        route = outgoing.route.name if outgoing.route is not None else ""
         return self._retries.hedge_delay(
-            self._context.service, trio.current_time()
+            self._context.service, trio.current_time(), route
         )
 
     def _launch_hedge(self) -> flights.Flight | None:
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -125,7 +125,9 @@
         """
         ...
 
-    def hedge_delay(self, service: str, now: float) -> float | None:
+    def hedge_delay(
+        self, service: str, now: float, route: str = ""
+    ) -> float | None:
         """Return after how long a second attempt may start, or None."""
         ...
 
@@ -172,7 +174,9 @@
             return Decision(Action.GIVE_UP)
         return Decision(Action.RETRY, pause)
 
-    def hedge_delay(self, service: str, now: float) -> float | None:
+    def hedge_delay(
+        self, service: str, now: float, route: str = ""
+    ) -> float | None:
         """Return None: never hedge."""
         return None
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -269,6 +269,22 @@
 
         run(check, count=1)
 
+    def test_a_repeatable_request_overtakes_a_hanging_instance(self):
+        async def check(built):
+            for number in range(30):
+                await builders.call(built, builders.READ_PATH, f"w{number}")
+            hanging, _ = built.instances
+            hanging.manner = Manner.HANG
+            started = trio.current_time()
+            for number in range(4):
+                response = await builders.call(
+                    built, builders.READ_PATH, f"r{number}"
+                )
+                self.assertEqual(200, response.status)
+            self.assertTrue(trio.current_time() - started < 1.5)
+
+        run(check)
+
     def test_an_instance_learns_that_the_caller_has_left(self):
         async def check(built):
             instance = built.instances[0]
