--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -154,8 +154,13 @@
 
     async def _read_until_failure(self) -> None:
         result = await self._feed.read()
+        if result.is_ok():
+            self._outages.note_answer(trio.current_time())
         while result.is_ok():
-            self._note_answer()
+            self._choice.note_success()
+            self._observe(observations.StoreAnswered())
+            # The feed was there all the while that a watch has waited.
+            self._outages.note_reader(trio.current_time())
             await self._take_read(result.ok)
             if self._choice.should_stop(self._readers_heard()):
                 return
@@ -174,11 +179,6 @@
             return await self._feed.read()
         return result
 
-    def _note_answer(self) -> None:
-        self._choice.note_success()
-        self._observe(observations.StoreAnswered())
-        self._outages.note_answer(trio.current_time())
-
     async def _take_read(self, read: feed.Read) -> None:
         for bad in read.bad_items:
             self._observe(observations.BadItemRead(bad))
--- a/packages/fleet/src/primrosemill/fleet/outages.py
+++ b/packages/fleet/src/primrosemill/fleet/outages.py
@@ -20,11 +20,11 @@
         self._retain_until = now
 
     def note_reader(self, now: float) -> None:
-        """Note that some VM of the fleet says that it reads the feed."""
+        """Note that some VM of the fleet, or this one, reads the feed."""
         self._answered_at = now
 
     def note_answer(self, now: float) -> None:
-        """Note an answer of the feed to this VM."""
+        """Note the first answer of the feed to this VM since it had none."""
         if now - self._answered_at >= LEAST_OUTAGE:
             self._retain_until = now + RETURN_TIME
         self._answered_at = now
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -76,6 +76,20 @@
 
         run_two(check, builders.UNREACHABLE)
 
+    def test_a_removal_after_a_quiet_watch_takes_effect_at_once(self):
+        """DRAIN on a hunted day of the Guild.
+
+        A reader took the quiet time of its own watch for an outage and kept
+        the removed instance for two seconds more.
+        """
+
+        async def check(first, second, source, other):
+            await trio.sleep(1.3)
+            source.changes.append(builders.batch(3, builders.removed(4, 0)))
+            await until(lambda: first.ids() == [], 0.5)
+
+        run_two(check, builders.UNREACHABLE)
+
     def test_a_large_change_is_pulled(self):
         async def check(first, second, source, other):
             items = [builders.seen(4 + n, 10 + n) for n in range(200)]
