--- a/tests/decisions/test_heavy_load.py
+++ b/tests/decisions/test_heavy_load.py
@@ -28,9 +28,9 @@
         self.outcomes = self.play.run()
 
     def test_urgent_requests_go_first(self):
-        self.assertTrue(self.play.share(load.URGENT) > 0.9)
+        self.assertGreater(self.play.share(load.URGENT), 0.9)
         urgent = self.play.share(load.URGENT, in_time=True)
-        self.assertTrue(urgent > self.play.share(load.PATIENT, in_time=True))
+        self.assertGreater(urgent, self.play.share(load.PATIENT, in_time=True))
 
     def test_the_instances_stay_busy(self):
         served = [each for each in self.outcomes if each.served]
@@ -75,8 +75,8 @@
         ]
         # 15 s of 72 requests a second; an equal share would be 270.
         self.assertTrue(len(late) < 40, len(late))
-        self.assertTrue(play.share(load.URGENT) > 0.98)
-        self.assertTrue(play.share(load.PATIENT) > 0.95)
+        self.assertGreater(play.share(load.URGENT), 0.98)
+        self.assertGreater(play.share(load.PATIENT), 0.95)
 
 
 class CallersThatReturnAtOnceTest(testtools.TestCase):
@@ -96,8 +96,8 @@
         play = load.Play(made, pattern(35.0, 25.0))
         play.run()
         fast = [each.taken for each in made[1:]]
-        self.assertTrue(made[0].taken < 0.35 * sum(fast) / len(fast))
-        self.assertTrue(play.share(load.URGENT, in_time=True) > 0.9)
+        self.assertLess(made[0].taken, 0.35 * sum(fast) / len(fast))
+        self.assertGreater(play.share(load.URGENT, in_time=True), 0.9)
 
 
 class ALoadThatFitsTest(testtools.TestCase):
@@ -105,4 +105,4 @@
         play = load.Play(instances(), pattern(25.0, 20.0))
         play.run()
         for route in (load.URGENT, load.PATIENT):
-            self.assertTrue(play.share(route, in_time=True) > 0.97)
+            self.assertGreater(play.share(route, in_time=True), 0.97)
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -71,7 +71,7 @@
             source.changes.append(builders.batch(3, builders.seen(4, 1)))
             started = trio.current_time()
             await until(lambda: second.ids() == ["i-0", "i-1"])
-            self.assertTrue(trio.current_time() - started < 1.0)
+            self.assertLess(trio.current_time() - started, 1.0)
             self.assertEqual("vm-1", second.changes[-1][1])
 
         run_two(check, builders.UNREACHABLE)
--- a/tests/fleet/test_readers.py
+++ b/tests/fleet/test_readers.py
@@ -34,7 +34,7 @@
                 now += 0.01
             pauses.append(now - start)
         self.assertTrue(pauses[-1] > 3 * pauses[0], pauses)
-        self.assertTrue(pauses[-1] <= readers.LONGEST_PAUSE + 0.05)
+        self.assertLessEqual(pauses[-1], readers.LONGEST_PAUSE + 0.05)
 
     def test_a_surplus_goes_without_everybody_leaving(self):
         choices = [
--- a/tests/platform/test_changes.py
+++ b/tests/platform/test_changes.py
@@ -85,6 +85,6 @@
             started = trio.current_time()
             response = await builders.call(built, builders.READ_PATH)
             self.assertEqual(503, response.status)
-            self.assertTrue(trio.current_time() - started < 0.5)
+            self.assertLess(trio.current_time() - started, 0.5)
 
         run(check)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -281,7 +281,7 @@
                     built, builders.READ_PATH, f"r{number}"
                 )
                 self.assertEqual(200, response.status)
-            self.assertTrue(trio.current_time() - started < 1.5)
+            self.assertLess(trio.current_time() - started, 1.5)
 
         run(check)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -99,7 +99,7 @@
                 nursery.start_soon(change)
                 started = trio.current_time()
                 batch = (await client.watch(revision, 5.0)).ok.batch
-            self.assertTrue(trio.current_time() - started < 1.0)
+            self.assertLess(trio.current_time() - started, 1.0)
             self.assertEqual(
                 [("servers/i-1", True)],
                 [(each.key, each.removed) for each in batch.items],
--- a/tests/telemetry/test_output.py
+++ b/tests/telemetry/test_output.py
@@ -30,7 +30,7 @@
         for _ in range(2_000):
             self.now += 0.1
             self.output(line)
-        self.assertTrue(self.output.left_out > 1_000)
+        self.assertGreater(self.output.left_out, 1_000)
         os.read(self.reader, 2**20)
         counts = []
         for _ in range(20):
