--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -22,6 +22,7 @@
 from primrosemill.decisions import waiting_line
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
+from primrosemill.proxy import waiters
 from primrosemill.telemetry import events
 
 FIRST_SERVER_ERROR = 500
@@ -45,7 +46,6 @@
     avoidance.Trust.LAST: standings.State.RANKED_LAST,
     avoidance.Trust.AVOIDED: standings.State.AVOIDED,
 }
-Grant = documents.Instance | plugs.Refused
 
 
 class Judgement(typing.NamedTuple):
@@ -73,19 +73,6 @@
 OnChange = typing.Callable[[Changed], None]
 
 
-class _Waiter:
-    """A task in the line, and what it was told."""
-
-    def __init__(self) -> None:
-        self.told = trio.Event()
-        self.grant: Grant | None = None
-
-    def tell(self, grant: Grant) -> None:
-        """End the wait."""
-        self.grant = grant
-        self.told.set()
-
-
 class Balancer:
     """Carries requests for one service to its allocation.
 
@@ -105,7 +92,7 @@
             domain, generator, trio.current_time(), floor_share
         )
         self._alarm = alarm
-        self._waiters_by_ticket: dict[int, _Waiter] = {}
+        self._waiters_by_ticket: dict[int, waiters.Waiter] = {}
         self.set_service(service)
 
     @property
@@ -123,7 +110,7 @@
         self.balance.set_instances(service.instances, trio.current_time())
         self.wake()
 
-    async def acquire(self, wish: dispatch.Wish) -> Grant:
+    async def acquire(self, wish: dispatch.Wish) -> waiters.Grant:
         """Take a slot, or wait for one as long as that makes sense."""
         now = trio.current_time()
         asked = self.allocation.ask(wish, now)
@@ -141,8 +128,8 @@
         )
         return await self._wait(asked.ticket, wish.deadline)
 
-    async def _wait(self, ticket: int, deadline: float) -> Grant:
-        waiter = self._waiters_by_ticket[ticket] = _Waiter()
+    async def _wait(self, ticket: int, deadline: float) -> waiters.Grant:
+        waiter = self._waiters_by_ticket[ticket] = waiters.Waiter()
         # An urgent request may go at once past others that wait.
         self.wake()
         try:
@@ -183,7 +170,7 @@
             waiter.tell(_grant_of(wakeup.told))
         self._alarm.set(self.allocation.next_wake(now))
 
-    def _leave(self, ticket: int, waiter: _Waiter) -> None:
+    def _leave(self, ticket: int, waiter: waiters.Waiter) -> None:
         """Take a task out of the line, or give its slot to another."""
         self._waiters_by_ticket.pop(ticket, None)
         self.allocation.leave(ticket)
@@ -191,7 +178,9 @@
             self.release(waiter.grant.id, 0.0, pool.End.FAILED)
 
 
-def _grant_of(told: allocation.Granted | waiting_line.Refused) -> Grant:
+def _grant_of(
+    told: allocation.Granted | waiting_line.Refused,
+) -> waiters.Grant:
     if isinstance(told, allocation.Granted):
         return told.instance
     return plugs.Refused(told.reason, told.retry_after)
--- a/packages/proxy/src/primrosemill/proxy/dispatch.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatch.py
@@ -17,22 +17,9 @@
 from primrosemill.decisions import standings
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import plugs
+from primrosemill.proxy import waiters
 
 QUEUE_LIMIT = queue.CAPACITY  # requests
-Grant = documents.Instance | plugs.Refused
-
-
-class _Waiter:
-    """A task in the queue, and what it was told."""
-
-    def __init__(self) -> None:
-        self.told = trio.Event()
-        self.grant: Grant | None = None
-
-    def tell(self, grant: Grant) -> None:
-        """End the wait."""
-        self.grant = grant
-        self.told.set()
 
 
 class Dispatcher:
@@ -53,7 +40,7 @@
         self._ramp = ramp.Ramp(service)
         self._standings_by_id: dict[str, standings.Standing] = {}
         self._cold_ids: set[str] = set()
-        self._waiters_by_ticket: dict[int, _Waiter] = {}
+        self._waiters_by_ticket: dict[int, waiters.Waiter] = {}
 
     @property
     def slots(self) -> pool.SlotPool:
@@ -111,7 +98,7 @@
         if self.waiting:
             self._tell(self._dispatch.wake(trio.current_time()))
 
-    async def acquire(self, wish: dispatch.Wish) -> Grant:
+    async def acquire(self, wish: dispatch.Wish) -> waiters.Grant:
         """Take a slot, or wait for one as long as the request can start."""
         now = trio.current_time()
         asked = self._dispatch.ask(wish, now)
@@ -123,7 +110,7 @@
             reason = outcomes.RefusalReason.QUEUE_FULL
             evicted = self._waiters_by_ticket.pop(asked.evicted)
             evicted.tell(self._refuse(reason, now))
-        waiter = self._waiters_by_ticket[asked.ticket] = _Waiter()
+        waiter = self._waiters_by_ticket[asked.ticket] = waiters.Waiter()
         self._alarm.set(self._dispatch.next_wake(now))
         try:
             with trio.move_on_at(asked.latest_start):
@@ -168,7 +155,7 @@
     ) -> plugs.Refused:
         return plugs.Refused(reason, self._dispatch.retry_after(now))
 
-    def _leave(self, ticket: int, waiter: _Waiter) -> None:
+    def _leave(self, ticket: int, waiter: waiters.Waiter) -> None:
         """Take a task out of the queue, or give its slot to another."""
         self._waiters_by_ticket.pop(ticket, None)
         self._dispatch.leave(ticket)
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -21,6 +21,7 @@
 from primrosemill.proxy import budgets
 from primrosemill.proxy import collector
 from primrosemill.proxy import counters
+from primrosemill.proxy import discovered
 from primrosemill.proxy import entry_settings
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
@@ -251,7 +252,7 @@
         self, applied: mirror.Applied, source: str, now: float
     ) -> None:
         """Put what the feed told in force."""
-        _log_changes(applied, source)
+        discovered.log_changes(applied, source)
         held = self.peers.node.follower.mirror
         if applied.older_routing is not None:
             events.emit(
@@ -262,7 +263,7 @@
             )
         if held.routing is None:
             return
-        document = build_document(self._settings.fleet, held, now)
+        document = discovered.build_document(self._settings.fleet, held, now)
         routing_changed = document.version != self._document.version
         self._document = document
         self._application.body_limit = held.routing.bounds.body_size
@@ -367,69 +368,6 @@
         )
 
 
-def build_document(
-    fleet: str, held: mirror.Mirror, now: float
-) -> documents.Document:
-    """Return the routes in force with the instances that are known."""
-    routing = held.routing
-    instances_by_service: dict[str, list[documents.Instance]] = {}
-    for service, instance in held.discovered(now):
-        instances_by_service.setdefault(service, []).append(instance)
-    services_by_name = {}
-    for service in routing.services:
-        instances = instances_by_service.get(service.name, [])
-        services_by_name[service.name] = documents.Service(
-            service.name,
-            revision=held.revision,
-            instances=tuple(sorted(instances)),
-            routes=(),
-            slots=1,
-            connections=service.connections,
-            floor=0,
-            detection_weight=1.0,
-            demand=0.0,
-            cold_start=0.0,
-            probe_path=service.probe_path,
-            probe_interval=0.0,
-        )
-    return documents.Document(
-        fleet,
-        routing.version,
-        "",
-        (),
-        documents.Limit(0.0, 0),
-        services_by_name,
-        {},
-        routing.routes,
-    )
-
-
-def _log_changes(applied: mirror.Applied, source: str) -> None:
-    for item in applied.instances:
-        if item.discovered is None:
-            events.emit(
-                events.INSTANCE_GONE,
-                key=item.key,
-                revision=item.revision,
-                retain_seconds=round(item.retain, 2),
-                source=source,
-            )
-            continue
-        service, instance = item.discovered
-        events.emit(
-            events.INSTANCE_SEEN,
-            service=service,
-            instance_id=instance.id,
-            boot=instance.boot,
-            address=f"{instance.ip}:{instance.port}",
-            domain=instance.domain,
-            leaving=instance.leaving,
-            cold_seconds=instance.cold_for,
-            revision=item.revision,
-            source=source,
-        )
-
-
 def _ignore_document(document: documents.Document) -> None:
     pass
 
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -22,6 +22,7 @@
 ONCE_PATH = "/bookings/new"
 UPLOAD_PATH = "/certificates/new"
 DOMAIN = "ain-sebaa"
+RUN_TIME = 30.0  # seconds that a check may take
 START_TIME = 10.0  # seconds that a VM may take to serve
 
 
@@ -134,6 +135,17 @@
         nursery.cancel_scope.cancel()
 
 
+def run(check, *args, **kwargs) -> None:
+    """Run a check against a VM that serves."""
+
+    async def main() -> None:
+        with trio.fail_after(RUN_TIME):
+            async with running(*args, **kwargs) as built:
+                await check(built)
+
+    trio.run(main)
+
+
 async def wait_until_ready(built: Running) -> None:
     with trio.fail_after(START_TIME):
         while True:
--- a/tests/platform/test_changes.py
+++ b/tests/platform/test_changes.py
@@ -4,15 +4,6 @@
 from tests.builders import users_platform as builders
 
 
-def run(check, *args, **kwargs):
-    async def main():
-        with trio.fail_after(30):
-            async with builders.running(*args, **kwargs) as built:
-                await check(built)
-
-    trio.run(main)
-
-
 async def status_of(built, target):
     response = await builders.call(built, target, f"r-{target}")
     return response.status
@@ -36,7 +27,7 @@
             self.assertEqual([], leaving.runs)
             self.assertEqual(6, len(staying.runs))
 
-        run(check)
+        builders.run(check)
 
     def test_new_routes_come_in_force_and_old_ones_go(self):
         async def check(built):
@@ -51,7 +42,7 @@
             self.assertEqual(200, await status_of(built, "/added/x"))
             self.assertEqual(404, await status_of(built, builders.READ_PATH))
 
-        run(check)
+        builders.run(check)
 
     def test_an_invalid_or_older_configuration_changes_nothing(self):
         async def check(built):
@@ -67,7 +58,7 @@
             await trio.sleep(0.4)
             self.assertEqual(200, await status_of(built, builders.READ_PATH))
 
-        run(check)
+        builders.run(check)
 
     def test_requests_are_served_while_the_store_is_away(self):
         async def check(built):
@@ -75,7 +66,7 @@
             await trio.sleep(2.0)
             self.assertEqual(200, await status_of(built, builders.READ_PATH))
 
-        run(check)
+        builders.run(check)
 
     def test_without_any_instance_a_request_is_refused_at_once(self):
         async def check(built):
@@ -87,4 +78,4 @@
             self.assertEqual(503, response.status)
             self.assertLess(trio.current_time() - started, 0.5)
 
-        run(check)
+        builders.run(check)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -8,15 +8,6 @@
 SIGNATURE = "primrosemill-server-signature"
 
 
-def run(check, *args, **kwargs):
-    async def main():
-        with trio.fail_after(30):
-            async with builders.running(*args, **kwargs) as built:
-                await check(built)
-
-    trio.run(main)
-
-
 class AnswerTest(testtools.TestCase):
     def test_an_answer_comes_back_whole_and_the_instance_is_named(self):
         async def check(built):
@@ -36,7 +27,7 @@
             left = int(headers["primrosemill-request-deadline"])
             self.assertTrue(1000 < left <= 2000, left)
 
-        run(check)
+        builders.run(check)
 
     def test_the_route_bounds_the_time_that_an_instance_gets(self):
         async def check(built):
@@ -45,7 +36,7 @@
             left = int(ran.headers["primrosemill-request-deadline"])
             self.assertTrue(left <= 2000, left)
 
-        run(check)
+        builders.run(check)
 
     def test_what_has_no_route_is_not_found(self):
         async def check(built):
@@ -53,7 +44,7 @@
                 response = await builders.call(built, target)
                 self.assertEqual(404, response.status, target)
 
-        run(check)
+        builders.run(check)
 
     def test_an_answer_without_a_length_is_whole(self):
         async def check(built):
@@ -65,7 +56,7 @@
             self.assertEqual(200, response.status)
             self.assertEqual(users_instance.BODY, response.content)
 
-        run(check)
+        builders.run(check)
 
 
 class RepeatTest(testtools.TestCase):
@@ -83,7 +74,7 @@
                 self.assertEqual(users_instance.BODY, response.content)
             self.assertEqual([], list(first.next_manners))
 
-        run(check)
+        builders.run(check)
 
     def test_an_error_is_replaced_by_another_answer(self):
         self.check_repeated(Manner.ERROR)
@@ -112,7 +103,7 @@
             self.assertIsNotNone(builders.header(response, SIGNATURE))
             self.assertEqual(2, len(builders.runs(built)))
 
-        run(check, count=3)
+        builders.run(check, count=3)
 
     def test_bytes_after_an_answer_reach_nobody(self):
         async def check(built):
@@ -124,7 +115,7 @@
                 )
                 self.assertEqual(users_instance.BODY, response.content)
 
-        run(check)
+        builders.run(check)
 
 
 class OnceTest(testtools.TestCase):
@@ -148,7 +139,7 @@
             self.assertEqual(len(manners), len(ids))
             self.assertEqual(len(set(ids)), len(ids))
 
-        run(check, count=3)
+        builders.run(check, count=3)
 
     def test_a_shed_request_goes_on_to_another_instance(self):
         async def check(built):
@@ -161,7 +152,7 @@
                 self.assertEqual(200, response.status)
             self.assertEqual(4, len(second.runs))
 
-        run(check)
+        builders.run(check)
 
     def test_a_request_for_another_instance_goes_on(self):
         async def check(built):
@@ -174,7 +165,7 @@
                 self.assertEqual(200, response.status)
             self.assertEqual([], reused.runs)
 
-        run(check)
+        builders.run(check)
 
     def test_a_refusal_is_true_and_says_when_to_come_back(self):
         async def check(built):
@@ -188,7 +179,7 @@
             self.assertTrue(0 < wait < 10, wait)
             self.assertEqual([], builders.runs(built))
 
-        run(check)
+        builders.run(check)
 
     def test_no_more_instances_are_asked_than_the_route_allows(self):
         async def check(built):
@@ -198,7 +189,7 @@
             asked = [each.id for each in built.instances if each.turned_away]
             self.assertEqual(2, len(asked))
 
-        run(check, count=4)
+        builders.run(check, count=4)
 
 
 class UploadTest(testtools.TestCase):
@@ -222,7 +213,7 @@
             bodies = [each.body for each in builders.runs(built)]
             self.assertEqual([body, body], bodies)
 
-        run(check)
+        builders.run(check)
 
     def test_an_early_answer_ends_the_connection_to_the_instance(self):
         async def check(built):
@@ -240,7 +231,7 @@
             for each in builders.runs(built):
                 self.assertIn(len(each.body), (0, 400_000))
 
-        run(check)
+        builders.run(check)
 
     def test_a_body_over_the_limit_is_refused(self):
         async def check(built):
@@ -250,7 +241,7 @@
             self.assertEqual(413, response.status)
             self.assertEqual([], builders.runs(built))
 
-        run(check)
+        builders.run(check)
 
 
 class TimeTest(testtools.TestCase):
@@ -267,7 +258,7 @@
             with trio.fail_after(1.0):
                 await built.instances[0].gone.wait()
 
-        run(check, count=1)
+        builders.run(check, count=1)
 
     def test_a_repeatable_request_overtakes_a_hanging_instance(self):
         async def check(built):
@@ -283,7 +274,7 @@
                 self.assertEqual(200, response.status)
             self.assertLess(trio.current_time() - started, 1.5)
 
-        run(check)
+        builders.run(check)
 
     def test_an_instance_learns_that_the_caller_has_left(self):
         async def check(built):
@@ -294,4 +285,4 @@
             with trio.fail_after(0.5):
                 await instance.gone.wait()
 
-        run(check, count=1)
+        builders.run(check, count=1)
