--- a/packages/platform/src/primrosemill/platform/headers.py
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -11,6 +11,9 @@
 
 MILLISECONDS = 1_000.0
 STATUS_OTHER_INSTANCE = 421
+# Uploads of the users have 60 KB on average and 360 KB at most; few are in
+# flight at one VM, so whole ones can be kept.
+REPLAY_SIZE = 524_288  # bytes
 LEAST_TIME_LEFT = 1  # milliseconds; zero could be read as no limit
 # A refusal is a promise that the request has not run, and only some statuses
 # make it: a deadline that passed in the queue is told by one of them.
@@ -73,4 +76,5 @@
     plain_answers=True,
     repeat_errors=True,
     hold_unsized=True,
+    replay_size=REPLAY_SIZE,
 )
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -136,7 +136,11 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Answer one request."""
-        body = replay.ReplayBody(receive, absent=_has_no_body(scope))
+        body = replay.ReplayBody(
+            receive,
+            absent=_has_no_body(scope),
+            buffer_size=self._dialect.replay_size,
+        )
         connection = scope["state"][callers.CONNECTION_KEY]
         caller = callers.Caller(
             send, body, connection, self._is_closing, self._dialect
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -10,6 +10,7 @@
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
 from primrosemill.proxy import headers
+from primrosemill.proxy import replay
 
 STATUS_BAD_REQUEST = 400
 STATUS_NO_ROUTE = 404
@@ -53,7 +54,8 @@
     ``plain_answers`` an answer in another content encoding is not the
     instance's. With ``repeat_errors`` a request that may be repeated is
     sent on after an instance's own error. With ``hold_unsized`` answers of
-    unknown length are read whole, too, before they go on.
+    unknown length are read whole, too, before they go on. ``replay_size``
+    are the bytes of a request's body that are kept for another attempt.
     """
 
     timeout: bytes = headers.TIMEOUT
@@ -70,6 +72,7 @@
     plain_answers: bool = False
     repeat_errors: bool = False
     hold_unsized: bool = False
+    replay_size: int = replay.BUFFER_SIZE
 
 
 OWN = Dialect()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -233,6 +233,24 @@
 
         builders.run(check)
 
+    def test_a_large_upload_that_is_shed_goes_on(self):
+        async def check(built):
+            shedding, other = built.instances
+            shedding.manner = Manner.SHED
+            for number in range(4):
+                response = await builders.call(
+                    built,
+                    builders.UPLOAD_PATH,
+                    f"r{number}",
+                    "POST",
+                    content=b"x" * 300_000,
+                )
+                self.assertEqual(200, response.status)
+            sizes = [len(each.body) for each in other.runs]
+            self.assertEqual([300_000] * 4, sizes)
+
+        builders.run(check)
+
     def test_a_body_over_the_limit_is_refused(self):
         async def check(built):
             response = await builders.call(
