--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -168,7 +168,7 @@
         self, reason: outcomes.RefusalReason, now: float
     ) -> waiting_line.Refused:
         return waiting_line.Refused(
-            reason, self._line.retry_after(self.drain_rate(now)), 0.0
+            reason, self._line.retry_after(self.drain_rate(now))
         )
 
     def _choose(
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -127,14 +127,6 @@
                 return True
         return False
 
-    def slots(self) -> int:
-        """Return the slots of all instances that are not leaving."""
-        return sum(
-            use.instance.slots
-            for use in self._uses_by_id.values()
-            if not use.instance.leaving
-        )
-
     def set_instances(
         self, instances: typing.Iterable[documents.Instance], now: float
     ) -> None:
--- a/packages/decisions/src/primrosemill/decisions/waiting_line.py
+++ b/packages/decisions/src/primrosemill/decisions/waiting_line.py
@@ -37,7 +37,6 @@
 
     reason: outcomes.RefusalReason
     retry_after: float
-    wait: float
 
 
 class Rate:
@@ -89,13 +88,11 @@
             return Refused(
                 outcomes.RefusalReason.QUEUE_FULL,
                 self.retry_after(drain_rate),
-                wait,
             )
         if self._is_hopeless(waiter, wait, now):
             return Refused(
                 outcomes.RefusalReason.DEADLINE,
                 self.retry_after(drain_rate),
-                wait,
             )
         self._waiters_by_ticket[waiter.ticket] = waiter
         return None
--- a/packages/platform/src/primrosemill/platform/names.py
+++ b/packages/platform/src/primrosemill/platform/names.py
@@ -21,12 +21,10 @@
 NOT_RUN = b"primrosemill-not-executed"
 LOAD = b"primrosemill-instance-load"
 
-# Words of an instance entry.
-SERVING = "ready"
+# The word of an instance entry for an instance that is leaving.
 LEAVING = "draining"
 
 # Kinds of route.
 IDEMPOTENT = "idempotent"
-NOT_IDEMPOTENT = "non_idempotent"
-# Not idempotent either, with large bodies.
+# Not idempotent, with large bodies.
 UPLOAD = "upload"
--- a/packages/proxy/src/primrosemill/proxy/entry_settings.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_settings.py
@@ -32,7 +32,6 @@
     stop_seconds: float = 6.0
     floor_share: float = 0.7
     retry_share: float = 0.2
-    retry_window: float = 10.0
     retry_slack: float = 0.0
 
     def vm_settings(self) -> proxy_settings.Settings:
@@ -112,21 +111,13 @@
         "0.2",
         "Attempts beyond the first, as a share of requests over the fleet.",
     ),
-    schema.Key(
-        "retries",
-        "window_seconds",
-        "retry_window",
-        schema.Seconds(0.1, 3_600.0),
-        "10",
-        "The time over which attempts are counted.",
-    ),
     schema.Key(
         "retries",
         "slack",
         "retry_slack",
         schema.Number(0.0, 1_000_000.0),
         "0",
-        "Attempts in a window beside the share, over the fleet.",
+        "Attempts beside the share in any time, over the fleet.",
     ),
 )
 
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -38,6 +38,9 @@
 EXIT_SHARE = 0.08
 # Of the fleet's retry budget; the views of its size differ for a moment.
 BUDGET_SHARE = 0.8
+# A VM that is no entry point takes this fraction of an entry point's part:
+# only callers with old answers come to it.
+OTHERS_PART = 4
 SUSPICIONS_WAITING = 64  # that were not sent yet; the oldest are dropped
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
@@ -269,7 +272,7 @@
         self._application.body_limit = held.routing.bounds.body_size
         self._callers.idle_lifetime = held.routing.bounds.idle_time
         self._application.set_document(document)
-        self._lead()
+        self._update_view()
         if routing_changed:
             collector.spare_new()
             events.emit(
@@ -328,10 +331,10 @@
 
     async def _keep_view(self) -> None:
         while True:
-            self._lead()
+            self._update_view()
             await trio.sleep(VIEW_INTERVAL)
 
-    def _lead(self) -> None:
+    def _update_view(self) -> None:
         """Work out the entry points, and what this VM leads and may spend."""
         vms = [] if self._leaving else [self._own]
         for member in self.peers.present():
@@ -360,8 +363,7 @@
         """Take this VM's part of what the fleet may send more than once."""
         spenders = max(1, domains) * max(1, len(self._points))
         if self._own not in self._points:
-            # Callers with old answers bring it a few requests only.
-            spenders *= 4
+            spenders *= OTHERS_PART
         self._retries.set_bounds(
             BUDGET_SHARE * self._settings.retry_share,
             max(1.0, BUDGET_SHARE * self._settings.retry_slack / spenders),
