Say once what three places of the proxy said each for itself

The status from which an answer is a failure stood in three modules, the text of a request's id and the name of its route were worked out in three places, and two tests of pages had the same reader of tables. Behaviour and assertions are as they were.

--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -8,6 +8,8 @@
 import enum
 import typing
 
+FIRST_SERVER_ERROR = 500  # status from which on an answer is a failure
+
 
 class NotRunReason(enum.StrEnum):
     """Why an attempt was certainly not run by the instance."""
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -243,7 +243,7 @@
             caller,
             self._plugs.retries,
             lambda failure: self._reports.note_retry(
-                failure, (outgoing.request_id or b"").decode("latin-1")
+                failure, outgoing.id_text
             ),
             self._hedges,
         )
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -43,6 +43,16 @@
     request_id: bytes | None = None
     dialect: dialects.Dialect = dialects.OWN
 
+    @property
+    def id_text(self) -> str:
+        """Return the caller's id of the request, for the log."""
+        return (self.request_id or b"").decode("latin-1")
+
+    @property
+    def route_name(self) -> str:
+        """Return the name of the route; empty where it has none."""
+        return self.route.name if self.route is not None else ""
+
 
 class Answer(typing.NamedTuple):
     """An answer whose start is held; ``whole`` if that is all of it.
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -25,7 +25,6 @@
 from primrosemill.proxy import waiters
 from primrosemill.telemetry import events
 
-FIRST_SERVER_ERROR = 500
 NOT_FAILURES = frozenset(
     {
         outcomes.NotRunReason.SHED,
@@ -350,7 +349,7 @@
 def _judge_answer(
     outcome: outcomes.Answered, end: plugs.AttemptEnd
 ) -> Judgement:
-    failed = outcome.status >= FIRST_SERVER_ERROR
+    failed = outcome.status >= outcomes.FIRST_SERVER_ERROR
     return Judgement(failed, failed)
 
 
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -14,7 +14,6 @@
 from primrosemill.proxy import plugs
 
 ANYWHERE: frozenset[str] = frozenset()
-FIRST_SERVER_ERROR = 500
 ERROR_ANSWER = outcomes.Unknown(outcomes.UnknownReason.ERROR_ANSWER)
 TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
 
@@ -166,7 +165,7 @@
             only,
             outgoing.route,
             outgoing.arrived,
-            (outgoing.request_id or b"").decode("latin-1"),
+            outgoing.id_text,
         )
 
     def _has_run_everywhere(self, failure: Failure) -> bool:
@@ -244,7 +243,7 @@
         outgoing = self._context.outgoing
         if not outgoing.dialect.repeat_errors or not outgoing.idempotent:
             return False
-        return answer.whole and answer.status >= FIRST_SERVER_ERROR
+        return answer.whole and answer.status >= outcomes.FIRST_SERVER_ERROR
 
     def _launch(self, instance: documents.Instance) -> flights.Flight:
         self._attempts += 1
@@ -270,9 +269,8 @@
         # may run twice.
         if not outgoing.idempotent or not outgoing.body.absent:
             return None
-        route = outgoing.route.name if outgoing.route is not None else ""
         return self._retries.hedge_delay(
-            self._context.service, trio.current_time(), route
+            self._context.service, trio.current_time(), outgoing.route_name
         )
 
     def _launch_hedge(self) -> flights.Flight | None:
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -87,8 +87,8 @@
             trio.current_time(),
             context.outgoing.idempotent,
             instance.boot,
-            context.outgoing.route.name if context.outgoing.route else "",
-            (context.outgoing.request_id or b"").decode("latin-1"),
+            context.outgoing.route_name,
+            context.outgoing.id_text,
             context.outgoing.arrived,
         )
         context.observer.attempt_started(self._start)
--- a/packages/proxy/src/primrosemill/proxy/probes.py
+++ b/packages/proxy/src/primrosemill/proxy/probes.py
@@ -6,10 +6,10 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import outcomes
 from primrosemill.proxy import headers
 
 TIMEOUT = 2.0  # seconds
-FIRST_SERVER_ERROR = 500
 
 
 class Result(typing.NamedTuple):
@@ -31,6 +31,6 @@
         except (httpcore.NetworkError, httpcore.ProtocolError):
             return Result(False, False)
         state = headers.find(response.headers, headers.INSTANCE_STATE)
-        healthy = response.status < FIRST_SERVER_ERROR
+        healthy = response.status < outcomes.FIRST_SERVER_ERROR
         return Result(healthy, state == headers.DRAINING)
     return Result(False, False)
--- a/tests/builders/settings.py
+++ b/tests/builders/settings.py
@@ -1,4 +1,8 @@
-"""Builds settings files for tests."""
+"""Builds settings files for tests, and reads the pages that list keys."""
+
+import re
+
+from primrosemill.proxy import settings_schema as schema
 
 COMPLETE = {
     "vm": {
@@ -22,3 +26,26 @@
         merged = COMPLETE.get(section, {}) | keys
         lines += [f"{key} = {value}" for key, value in merged.items()]
     return "\n".join(lines) + "\n"
+
+
+def page_rows(page: str) -> list[tuple[str, ...]]:
+    """Read the rows of a page's tables of keys."""
+    return re.findall(
+        r"^\| `(\w+)` \| `(\w+)` \| (.*) \| (.*) \| (.*) \|$",
+        page,
+        re.MULTILINE,
+    )
+
+
+def key_rows(keys: tuple[schema.Key, ...]) -> list[tuple[str, ...]]:
+    """Return the rows that keys should have on their page."""
+    return [
+        (
+            key.section,
+            key.name,
+            schema.describe(key.form),
+            "required" if key.default is None else f"`{key.default}`",
+            key.meaning,
+        )
+        for key in keys
+    ]
--- a/tests/proxy/test_entry_settings.py
+++ b/tests/proxy/test_entry_settings.py
@@ -1,6 +1,5 @@
 import os
 import pathlib
-import re
 import signal
 import tempfile
 
@@ -10,8 +9,8 @@
 from primrosemill.proxy import entry_settings
 from primrosemill.proxy import reloading
 from primrosemill.proxy import settings_faults as faults
-from primrosemill.proxy import settings_schema as schema
 from tests.builders import entry_settings as builders
+from tests.builders import settings as settings_builders
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "deploy.md"
 
@@ -38,22 +37,10 @@
         )
 
     def test_the_page_describes_every_key(self):
-        rows = re.findall(
-            r"^\| `(\w+)` \| `(\w+)` \| (.*) \| (.*) \| (.*) \|$",
-            PAGE.read_text(),
-            re.MULTILINE,
+        self.assertEqual(
+            settings_builders.key_rows(entry_settings.KEYS),
+            settings_builders.page_rows(PAGE.read_text()),
         )
-        expected = [
-            (
-                key.section,
-                key.name,
-                schema.describe(key.form),
-                "required" if key.default is None else f"`{key.default}`",
-                key.meaning,
-            )
-            for key in entry_settings.KEYS
-        ]
-        self.assertEqual(expected, rows)
 
 
 class ReloadingTest(testtools.TestCase):
--- a/tests/proxy/test_settings.py
+++ b/tests/proxy/test_settings.py
@@ -1,5 +1,4 @@
 import pathlib
-import re
 
 import testtools
 
@@ -98,19 +97,7 @@
 
 class PageTest(testtools.TestCase):
     def test_the_page_has_every_key_as_the_code_has_it(self):
-        rows = re.findall(
-            r"^\| `(\w+)` \| `(\w+)` \| (.*) \| (.*) \| (.*) \|$",
-            PAGE.read_text(),
-            re.MULTILINE,
+        self.assertEqual(
+            builders.key_rows(schema.KEYS),
+            builders.page_rows(PAGE.read_text()),
         )
-        expected = [
-            (
-                key.section,
-                key.name,
-                schema.describe(key.form),
-                "required" if key.default is None else f"`{key.default}`",
-                key.meaning,
-            )
-            for key in schema.KEYS
-        ]
-        self.assertEqual(expected, rows)
