Bound callers' headers, their time, and chunked bodies as configured

Cause: of the operator's four bounds only the idle time and announced body lengths were held. A head was bounded by the HTTP library's 16 KB, a slow head by the idle time, a chunked body by nothing.

Now a whole head that is too large is refused by the proxy (431), one without end by the HTTP library at the same size, one that takes too long after at most a second more than its time (408); a chunked body is cut off where it exceeds the bound: 413, not run if no instance got a byte, else unknown. What can't be read as a request is logged, PM3010. A suspicion that is dropped because too many wait is logged, PM5001.

Ruled out: changing the size for connections that are open; the library fixes it when one opens, and whole heads are judged by the proxy anyway.

--- a/packages/configuration/src/primrosemill/configuration/document.py
+++ b/packages/configuration/src/primrosemill/configuration/document.py
@@ -104,6 +104,11 @@
     idle_time: float = 75.0
 
 
+# What a server allows whose configuration says nothing about its callers:
+# the size of the head is then the HTTP library's own, all else is free.
+UNBOUNDED = CallerBounds(2**62, 2**62, float("inf"))
+
+
 class BackendService(typing.NamedTuple):
     """A service whose instances are discovered."""
 
--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -33,6 +33,7 @@
     PROTOCOL = "protocol"
     FOREIGN_ANSWER = "foreign_answer"
     ERROR_ANSWER = "error_answer"
+    BODY_TOO_LARGE = "body_too_large"
 
 
 class RefusalReason(enum.StrEnum):
@@ -48,6 +49,7 @@
     RETRIES_SPENT = "retries_spent"
     BODY_SENT = "body_sent"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
 
 
 class NotRun(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -27,6 +27,8 @@
 from primrosemill.proxy import replay
 from primrosemill.proxy import reports
 
+HEADER_EXTRA = 4  # bytes of a header line besides its name and value
+
 Lookup = routes.Match | plugs.Refused
 MakeDispatcher = typing.Callable[
     [documents.Service, alarms.Alarm], flights.Dispatcher
@@ -57,7 +59,7 @@
         self._dispatchers_by_service: dict[str, flights.Dispatcher] = {}
         self._queue_limit = queue_limit
         self._make_dispatcher = make_dispatcher or self._plain_dispatcher
-        self.body_limit: int | None = None
+        self.bounds = documents.UNBOUNDED
         self._alarm = alarms.Alarm()
         self._hedges = hedging.Hedges()
         self._reports = reports.Reports(self._counters, log_requests)
@@ -140,6 +142,7 @@
             receive,
             absent=_has_no_body(scope),
             buffer_size=self._dialect.replay_size,
+            limit=self.bounds.body_size,
         )
         connection = scope["state"][callers.CONNECTION_KEY]
         caller = callers.Caller(
@@ -186,6 +189,8 @@
         caller: callers.Caller,
     ) -> exchange.Ending:
         now = trio.current_time()
+        if _head_size(scope) > self.bounds.head_size:
+            return plugs.Refused(outcomes.RefusalReason.HEAD_TOO_LARGE)
         match = self._find(scope)
         if isinstance(match, plugs.Refused):
             return match
@@ -219,10 +224,8 @@
         return match
 
     def _is_too_large(self, scope: asgi.Scope) -> bool:
-        if self.body_limit is None:
-            return False
         length = headers.find(scope["headers"], headers.CONTENT_LENGTH)
-        return length is not None and int(length) > self.body_limit
+        return length is not None and int(length) > self.bounds.body_size
 
     async def _exchange(
         self,
@@ -253,6 +256,8 @@
                 return await running.run()
             except replay.CallerGoneError:
                 return exchange.CallerGone()
+            except replay.TooLargeError:
+                return running.end_too_large()
         if caller.gone:
             return exchange.CallerGone()
         if caller.started:
@@ -277,6 +282,14 @@
     return client[0] if client else ""
 
 
+def _head_size(scope: asgi.Scope) -> int:
+    """Return the bytes of a request's target and headers."""
+    size = len(scope["raw_path"]) + len(scope["query_string"])
+    for name, value in scope["headers"]:
+        size += len(name) + len(value) + HEADER_EXTRA
+    return size
+
+
 def _has_no_body(scope: asgi.Scope) -> bool:
     lines = scope["headers"]
     if headers.find(lines, headers.TRANSFER_ENCODING) is not None:
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -118,7 +118,7 @@
     async def run(self) -> Ending:
         """Send the request and read the start of the answer.
 
-        Raises replay.CallerGoneError.
+        Raises replay.CallerGoneError and replay.TooLargeError.
         """
         not_connected = await self._connect()
         if not_connected is not None:
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -26,6 +26,7 @@
 NOT_SSL = False
 OnFailure = typing.Callable[[Exception], None]
 NO_ADDRESS = None
+STATUS_TIMEOUT = 408
 
 
 class CallerConnection:
@@ -47,6 +48,7 @@
         self._held = b""
         self._holding = False
         self.idle_since: float | None = trio.current_time()
+        self._head_since: float | None = None
         self.gone = False
         self.on_gone: typing.Callable[[], None] | None = None
         self._protocol = http1.Http1Protocol(
@@ -69,6 +71,7 @@
                 if not data:
                     break
                 await self._protocol.handle(hypercorn.events.RawData(data))
+                self._note_head()
         except OSError:
             # The caller reset the connection, or it was closed here.
             pass
@@ -83,6 +86,13 @@
             self._socket.end_sending()
             self._socket.close()
 
+    def _note_head(self) -> None:
+        """Keep since when the head of a request is not whole."""
+        if self.idle_since is None or not self._protocol.has_part():
+            self._head_since = None
+        elif self._head_since is None:
+            self._head_since = trio.current_time()
+
     async def spawn_app(
         self,
         application: asgi.Handler,
@@ -130,6 +140,13 @@
         if not self._socket.is_readable():
             self._socket.close()
 
+    def refuse_if_slow(self, oldest: float) -> None:
+        """Refuse a head that began at ``oldest`` or before, a trio time."""
+        if self._head_since is None or self._head_since > oldest:
+            return
+        self._head_since = None
+        self._nursery.start_soon(self._protocol.refuse, STATUS_TIMEOUT)
+
     async def _send(self, event: hypercorn.events.Event) -> None:
         if isinstance(event, hypercorn.events.RawData):
             await self._send_bytes(event.data)
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -17,7 +17,10 @@
 PROGRESS_TIMEOUT = 60.0  # seconds without progress once an answer began
 LINGER_TIMEOUT = 10.0  # seconds that a refused upload is read on
 STATUS_BAD_GATEWAY = 502
-STATUS_GATEWAY_TIMEOUT = 504
+STATUS_BY_UNKNOWN = {
+    outcomes.UnknownReason.TIMEOUT: dialects.STATUS_GATEWAY_TIMEOUT,
+    outcomes.UnknownReason.BODY_TOO_LARGE: dialects.STATUS_TOO_LARGE,
+}
 
 
 class CallerConnection(typing.Protocol):
@@ -116,9 +119,7 @@
 
     async def tell_unknown(self, unknown: outcomes.Unknown) -> None:
         """Say that nobody can tell whether the request was run."""
-        status = STATUS_BAD_GATEWAY
-        if unknown.reason is outcomes.UnknownReason.TIMEOUT:
-            status = STATUS_GATEWAY_TIMEOUT
+        status = STATUS_BY_UNKNOWN.get(unknown.reason, STATUS_BAD_GATEWAY)
         await self._conclude(
             status,
             [
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -41,7 +41,7 @@
 # A VM that is no entry point takes this fraction of an entry point's part:
 # only callers with old answers come to it.
 OTHERS_PART = 4
-SUSPICIONS_WAITING = 64  # that were not sent yet; the oldest are dropped
+SUSPICIONS_WAITING = 64  # that were not sent yet; later ones are dropped
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
@@ -269,8 +269,8 @@
         document = discovered.build_document(self._settings.fleet, held, now)
         routing_changed = document.version != self._document.version
         self._document = document
-        self._application.body_limit = held.routing.bounds.body_size
-        self._callers.idle_lifetime = held.routing.bounds.idle_time
+        self._application.bounds = held.routing.bounds
+        self._callers.set_bounds(held.routing.bounds)
         self._application.set_document(document)
         self._update_view()
         if routing_changed:
@@ -317,8 +317,11 @@
         try:
             self._send_suspicions.send_nowait(suspicion)
         except trio.WouldBlock:
-            # The peers will find out for themselves.
-            return
+            events.emit(
+                events.SUSPICION_DROPPED,
+                service=changed.service,
+                instance_id=verdict.instance_id,
+            )
 
     async def _tell_suspicions(self) -> None:
         async for suspicion in self._suspicions:
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -15,6 +15,7 @@
 
 ANYWHERE: frozenset[str] = frozenset()
 ERROR_ANSWER = outcomes.Unknown(outcomes.UnknownReason.ERROR_ANSWER)
+BODY_TOO_LARGE = outcomes.Unknown(outcomes.UnknownReason.BODY_TOO_LARGE)
 TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
 
 
@@ -106,6 +107,12 @@
         late = plugs.Refused(self.late_reason)
         return await self._end(self._unknown or late)
 
+    def end_too_large(self) -> Ending:
+        """Conclude after more came than a body may have."""
+        if self._unknown is not None:
+            return BODY_TOO_LARGE
+        return plugs.Refused(outcomes.RefusalReason.BODY_TOO_LARGE)
+
     async def _end(self, ending: plugs.Refused | outcomes.Unknown) -> Ending:
         """Conclude; an instance's own error tells the caller the most."""
         if self._error_answer is None:
--- a/packages/proxy/src/primrosemill/proxy/http1.py
+++ b/packages/proxy/src/primrosemill/proxy/http1.py
@@ -6,10 +6,13 @@
 """
 
 import h11
+import hypercorn.events
 import hypercorn.protocol.events
 import hypercorn.protocol.h11
 import hypercorn.protocol.http_stream
 
+from primrosemill.telemetry import events
+
 
 class Http1Protocol(hypercorn.protocol.h11.H11Protocol):
     """Turns bytes into HTTP/1.1 requests and answers into bytes."""
@@ -17,6 +20,20 @@
     async def _check_protocol(self, event: h11.Request) -> None:
         """Look for no upgrade."""
 
+    def has_part(self) -> bool:
+        """Tell whether bytes came that are no whole head yet."""
+        return bool(self.connection.trailing_data[0])
+
+    async def refuse(self, status: int) -> None:
+        """Answer a request whose head is not whole, and close."""
+        await self._send_error_response(status)
+        await self.send(hypercorn.events.Closed())
+
+    async def _send_error_response(self, status_code: int) -> None:
+        """Answer what can't be read as a request."""
+        events.emit(events.HEAD_REFUSED, status=status_code)
+        await super()._send_error_response(status_code)
+
     async def _create_stream(self, request: h11.Request) -> None:
         """Start the application for a request."""
         stream_id = hypercorn.protocol.h11.STREAM_ID
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -6,6 +6,7 @@
 import hypercorn.trio.worker_context
 import trio
 
+from primrosemill.configuration import document as documents
 from primrosemill.proxy import asgi
 from primrosemill.proxy import caller_connection
 from primrosemill.proxy import sockets
@@ -42,7 +43,8 @@
         self._connections: set[caller_connection.CallerConnection] = set()
         self._accepting = trio.CancelScope()
         self._draining = False
-        self.idle_lifetime = KEEP_ALIVE_TIMEOUT
+        self._idle_lifetime = KEEP_ALIVE_TIMEOUT
+        self._head_time = documents.UNBOUNDED.head_time
         self._drain_begins = trio.Event()
         self._drained = trio.Event()
 
@@ -51,6 +53,16 @@
         """Return the number of callers' connections."""
         return len(self._connections)
 
+    def set_bounds(self, bounds: documents.CallerBounds) -> None:
+        """Take what callers may send.
+
+        The size of a head that is not whole yet holds for new connections;
+        whole ones are for the application to judge.
+        """
+        self._idle_lifetime = bounds.idle_time
+        self._head_time = bounds.head_time
+        self._config.h11_max_incomplete_size = bounds.head_size
+
     async def run(
         self,
         ip: str,
@@ -117,10 +129,11 @@
             self._close_idle()
 
     def _close_idle(self) -> None:
-        lifetime = DRAIN_IDLE_TIME if self._draining else self.idle_lifetime
-        oldest = trio.current_time() - lifetime
+        now = trio.current_time()
+        lifetime = DRAIN_IDLE_TIME if self._draining else self._idle_lifetime
         for connection in tuple(self._connections):
-            connection.close_if_idle(oldest)
+            connection.refuse_if_slow(now - self._head_time)
+            connection.close_if_idle(now - lifetime)
 
 
 def make_config() -> hypercorn.config.Config:
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -203,6 +203,14 @@
     "The request has its final answer, or its caller has left.",
     ("request_id", "ending", "detail", "elapsed"),
 )
+HEAD_REFUSED = Event(
+    "PM3010",
+    "head_refused",
+    Level.WARNING,
+    "A caller's bytes can't be read as a request, or its headers came too "
+    "slowly or were too large; the connection closes.",
+    ("status",),
+)
 STANDING_CHANGED = Event(
     "PM4001",
     "standing_changed",
@@ -240,6 +248,14 @@
         *("cause", "request_id"),
     ),
 )
+SUSPICION_DROPPED = Event(
+    "PM5001",
+    "suspicion_dropped",
+    Level.WARNING,
+    "Too many suspicions wait to be sent, so the VMs of the failure domain "
+    "are not told of this one and find out for themselves.",
+    ("service", "instance_id"),
+)
 
 CATALOGUE = (
     VM_STARTED,
@@ -265,10 +281,12 @@
     ATTEMPT_ENDED,
     REQUEST_RETRIED,
     REQUEST_ENDED,
+    HEAD_REFUSED,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
     TRUST_CHANGED,
+    SUSPICION_DROPPED,
 )
 
 
