Show apart how long requests wait and how long instances take

Cause: the metrics had one histogram for the whole request, so a slow service and a full one looked alike to whoever is on call.

Ruled out: taking the wait from the observer's start of an attempt; it counts from the request's arrival, so a retry would count the first attempt, too.

Before: no such metrics. After: primrosemill_wait_seconds and primrosemill_attempt_seconds; four requests at an instance with three slots show one wait.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -245,9 +245,7 @@
             ),
             caller,
             self._plugs.retries,
-            lambda failure: self._reports.note_retry(
-                failure, outgoing.id_text
-            ),
+            self._reports,
             self._hedges,
         )
         with trio.CancelScope(deadline=outgoing.deadline) as scope:
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -75,6 +75,17 @@
             "Seconds from a request's head to its last byte.",
             self.registry,
         )
+        self.wait_times = metrics.latency_histogram(
+            "wait_seconds",
+            "Seconds that requests waited for the slot that they got.",
+            self.registry,
+        )
+        self.attempt_times = metrics.latency_histogram(
+            "attempt_seconds",
+            "Seconds that instances took from a request to the end of their "
+            "answer.",
+            self.registry,
+        )
         self.peers = peer_counters.PeerCounters(self.registry)
 
     def count_retry(self, failure: outcomes.NotRun | outcomes.Unknown) -> None:
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -37,7 +37,22 @@
 
 Ending = Relayed | Aborted | CallerGone | plugs.Refused | outcomes.Unknown
 Failure = outcomes.NotRun | outcomes.Unknown
-OnRetry = typing.Callable[[Failure], None]
+
+
+class Reports(typing.Protocol):
+    """Takes note of what happens to a request before its ending."""
+
+    def note_wait(self, seconds: float) -> None:
+        """Note how long a request waited for the slot that it got."""
+        ...
+
+    def note_attempt(self, end: plugs.AttemptEnd) -> None:
+        """Note an attempt that ended."""
+        ...
+
+    def note_retry(self, failure: Failure, request_id: str) -> None:
+        """Note an attempt that another one follows."""
+        ...
 
 
 class Exchange:
@@ -48,13 +63,13 @@
         context: flights.Context,
         caller: callers.Caller,
         retries: plugs.RetryPolicy,
-        on_retry: OnRetry,
+        reports: Reports,
         hedges: hedging.Hedges,
     ) -> None:
         self._context = context
         self._caller = caller
         self._retries = retries
-        self._on_retry = on_retry
+        self._reports = reports
         self._hedges = hedges
         self._attempts = 0
         self._flights: list[flights.Flight] = []
@@ -86,9 +101,7 @@
         while True:
             instance = self._take_trial()
             if instance is None:
-                instance = await self._context.dispatcher.acquire(
-                    self._wish(failed_id)
-                )
+                instance = await self._wait_for_slot(failed_id)
             if isinstance(instance, plugs.Refused):
                 return await self._end(self._unknown or self._refuse(instance))
             self._flying = True
@@ -99,9 +112,18 @@
             given_up = await self._pause_after(ending)
             if given_up is not None:
                 return await self._end(given_up)
-            self._on_retry(ending)
+            self._reports.note_retry(ending, self._context.outgoing.id_text)
             failed_id = instance.id
 
+    async def _wait_for_slot(
+        self, failed_id: str | None
+    ) -> documents.Instance | plugs.Refused:
+        started = trio.current_time()
+        granted = await self._context.dispatcher.acquire(self._wish(failed_id))
+        if isinstance(granted, documents.Instance):
+            self._reports.note_wait(trio.current_time() - started)
+        return granted
+
     async def end_late(self) -> Ending:
         """Conclude after the deadline has passed."""
         late = plugs.Refused(self.late_reason)
@@ -317,4 +339,4 @@
             self._unknown = flight.ending
         elif flight.ending is None and flight.attempt.maybe_ran:
             self._unknown = TIMED_OUT
-        await flight.land()
+        self._reports.note_attempt(await flight.land())
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -102,7 +102,7 @@
             )
         return self.ending
 
-    async def land(self) -> None:
+    async def land(self) -> plugs.AttemptEnd:
         """Free the slot and the connection, and report the outcome."""
         await self.attempt.close()
         end = self._end()
@@ -110,6 +110,7 @@
             self.instance.id, end.elapsed, _end_of_slot(self.ending)
         )
         self._context.observer.attempt_ended(end)
+        return end
 
     def _end(self) -> plugs.AttemptEnd:
         late = trio.current_time() >= self._context.outgoing.deadline
--- a/packages/proxy/src/primrosemill/proxy/reports.py
+++ b/packages/proxy/src/primrosemill/proxy/reports.py
@@ -48,6 +48,15 @@
         if left_out is not None:
             events.emit(event, reason=ending.reason.value, left_out=left_out)
 
+    def note_wait(self, seconds: float) -> None:
+        """Count how long a request waited for the slot that it got."""
+        self._counters.wait_times.observe(seconds)
+
+    def note_attempt(self, end: plugs.AttemptEnd) -> None:
+        """Count how long an instance took for its answer."""
+        if isinstance(end.outcome, outcomes.Answered):
+            self._counters.attempt_times.observe(end.elapsed)
+
     def note_retry(self, failure: exchange.Failure, request_id: str) -> None:
         """Count an attempt that another one follows."""
         self._counters.count_retry(failure)
