--- a/packages/decisions/src/primrosemill/decisions/avoidance.py
+++ b/packages/decisions/src/primrosemill/decisions/avoidance.py
@@ -79,6 +79,15 @@
             return Trust.ON_TRIAL
         return Trust.TRUSTED
 
+    def suspects(self, now: float) -> dict[str, Trust]:
+        """Return the instances that are not trusted now, and how far."""
+        trust_by_id = {}
+        for instance_id in self._records_by_id:
+            trust = self.trust(instance_id, now)
+            if trust is not Trust.TRUSTED:
+                trust_by_id[instance_id] = trust
+        return trust_by_id
+
     def failures(self, instance_id: str) -> float:
         """Return the weight of what is held against an instance."""
         record = self._records_by_id.get(instance_id)
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -8,6 +8,7 @@
 instance that has not been heard of for longest; then the least loaded goes.
 """
 
+import math
 import random
 import typing
 
@@ -56,15 +57,21 @@
     __slots__ = (
         "cold_until",
         "instance",
+        "other_lead",
         "others",
         "others_at",
         "paused_until",
+        "remote",
+        "room",
         "starts",
         "well_at",
     )
 
     def __init__(self, instance: documents.Instance, now: float) -> None:
         self.instance = instance
+        self.room = 0.0
+        self.remote = False
+        self.other_lead = True
         self.others = 0.0
         self.others_at = now
         self.paused_until = 0.0
@@ -74,8 +81,13 @@
 
     def occupied(self, now: float) -> float:
         """Return the requests that the instance probably holds."""
+        if not self.others:
+            return len(self.starts)
         fade = 1.0 - (now - self.others_at) / LOAD_LIFETIME
-        return len(self.starts) + self.others * max(0.0, fade)
+        if fade <= 0.0:
+            self.others = 0.0
+            return len(self.starts)
+        return len(self.starts) + self.others * fade
 
 
 class Balance:
@@ -139,25 +151,40 @@
                 use = _Use(instance, now)
                 self.avoidance.forget(instance.id)
             use.instance = instance
+            use.room = instance.slots + PART_LOAD
+            use.remote = instance.domain != self._domain
+            use.other_lead = instance.id not in self._led_ids
             self._uses_by_id[instance.id] = use
         self.avoidance.keep(self._uses_by_id)
 
     def set_led(self, led_ids: frozenset[str]) -> None:
         """Take the instances that this VM should fill first."""
+        if led_ids == self._led_ids:
+            return
         self._led_ids = led_ids
+        for instance_id, use in self._uses_by_id.items():
+            use.other_lead = instance_id not in led_ids
 
     def choose(self, need: Need, now: float) -> documents.Instance | None:
         """Take a slot of the best instance, or None if all are full."""
         best: _Use | None = None
+        best_place: tuple[float, bool, bool] = (math.inf, True, True)
         best_rank: tuple[float, ...] = ()
-        trust_by_id = self._trusts(now)
+        trust_by_id = self._suspects(now)
         for use in self._uses_by_id.values():
-            trust = trust_by_id[use.instance.id]
-            if not self._usable(use, need, trust, now):
+            occupied = use.occupied(now)
+            if occupied + 1.0 > use.room or now < use.paused_until:
+                continue
+            trust = trust_by_id.get(use.instance.id, TRUSTED)
+            if not _may_get(use, need, trust):
+                continue
+            standing = _standing(trust, need.idempotent and not use.remote)
+            place = (standing, use.remote, use.other_lead)
+            if place > best_place:
                 continue
-            rank = self._rank(use, need, trust, now)
-            if best is None or rank < best_rank:
-                best, best_rank = use, rank
+            rank = self._rank(use, need, occupied, now)
+            if place < best_place or rank < best_rank:
+                best, best_place, best_rank = use, place, rank
         if best is None:
             return None
         best.starts.append(now)
@@ -204,21 +231,23 @@
         """Return when a choice may succeed without a release."""
         return now + SHED_PAUSE / 4
 
-    def _trusts(self, now: float) -> dict[str, avoidance.Trust]:
-        """Return the trust in each instance, with the floor kept.
+    def _suspects(self, now: float) -> dict[str, avoidance.Trust]:
+        """Return the instances that are not trusted, with the floor kept.
 
+        An instance that holds a request for far too long is avoided, too.
         The operator's share of the instances stays usable: where more are
         suspect, the least suspect ones are used after all others.
         """
-        trust_by_id = {}
-        avoided = []
+        trust_by_id = self.avoidance.suspects(now)
+        limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
         for instance_id, use in self._uses_by_id.items():
-            trust = self.avoidance.trust(instance_id, now)
-            if trust is not avoidance.Trust.AVOIDED:
-                trust = self._doubt_stall(use, trust, now)
-            trust_by_id[instance_id] = trust
-            if trust is avoidance.Trust.AVOIDED:
-                avoided.append(instance_id)
+            if use.starts and now - use.starts[0] > limit:
+                trust_by_id[instance_id] = avoidance.Trust.AVOIDED
+        avoided = [
+            instance_id
+            for instance_id, trust in trust_by_id.items()
+            if trust is avoidance.Trust.AVOIDED
+        ]
         allowed = int((1.0 - self._floor_share) * len(self._uses_by_id))
         if len(avoided) > allowed:
             avoided.sort(key=self.avoidance.failures)
@@ -226,48 +255,14 @@
                 trust_by_id[instance_id] = avoidance.Trust.LAST
         return trust_by_id
 
-    def _doubt_stall(
-        self, use: _Use, trust: avoidance.Trust, now: float
-    ) -> avoidance.Trust:
-        """Avoid an instance that holds a request for far too long."""
-        oldest = use.starts[0] if use.starts else now
-        limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
-        if now - oldest > limit:
-            return avoidance.Trust.AVOIDED
-        return trust
-
-    def _usable(
-        self, use: _Use, need: Need, trust: avoidance.Trust, now: float
-    ) -> bool:
-        instance = use.instance
-        if instance.leaving or instance.id in need.excluded:
-            return False
-        if need.only is not None and instance.id not in need.only:
-            return False
-        if now < use.paused_until:
-            return False
-        if need.local and instance.domain != self._domain:
-            return False
-        if trust is avoidance.Trust.AVOIDED:
-            return False
-        if trust is avoidance.Trust.ON_TRIAL and use.starts:
-            # One request at a time tries it.
-            return False
-        return use.occupied(now) + 1.0 <= instance.slots + PART_LOAD
-
     def _rank(
-        self, use: _Use, need: Need, trust: avoidance.Trust, now: float
+        self, use: _Use, need: Need, occupied: float, now: float
     ) -> tuple[float, ...]:
-        occupied = use.occupied(now)
+        """Return the order among instances in the same place."""
         if now < use.cold_until:
             occupied += COLD_PENALTY
-        remote = use.instance.domain != self._domain
-        other_lead = use.instance.id not in self._led_ids
         age = (now - use.well_at) // EVIDENCE_STEP
         return (
-            _standing(trust, need.idempotent and not remote),
-            remote,
-            other_lead,
             # What may be repeated finds out about instances that have been
             # quiet; what may not goes where all was well lately.
             -age if need.idempotent else age,
@@ -276,6 +271,21 @@
         )
 
 
+def _may_get(use: _Use, need: Need, trust: avoidance.Trust) -> bool:
+    """Tell whether an instance with a free slot may get a request."""
+    instance = use.instance
+    if instance.leaving or instance.id in need.excluded:
+        return False
+    if need.only is not None and instance.id not in need.only:
+        return False
+    if need.local and use.remote:
+        return False
+    if trust is avoidance.Trust.ON_TRIAL and use.starts:
+        # One request at a time tries it.
+        return False
+    return trust is not avoidance.Trust.AVOIDED
+
+
 def _standing(trust: avoidance.Trust, may_try: bool) -> float:
     """Return the order by trust; trials go first where they do no harm."""
     if trust is avoidance.Trust.ON_TRIAL and may_try:
