Let repeatable requests try an instance after a single failure before they wait

Cause: about one request of a hundred fails at a well instance, and each such failure keeps a whole domain off that instance for a second.

Now a repeatable request tries such an instance, one at a time, when all trusted ones are full; after a second failure nothing does.

--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -28,6 +28,8 @@
 # Slots of an instance that a VM uses at a time while another VM leads it and
 # others are there, too; docs/design/balancing.
 BORROWED_SLOTS = 1
+# Failures from which on a spell is certain; one fades below its full weight.
+CONFIRMED_FAILURES = 1.5
 PART_LOAD = 0.5  # requests; a faded load below it counts as none
 FLOOR_SHARE = 0.7  # of the instances that stay usable whatever is suspected
 TRUSTED = avoidance.Trust.TRUSTED
@@ -182,7 +184,7 @@
             if occupied is None or now < use.paused_until:
                 continue
             trust = trust_by_id.get(use.instance.id, TRUSTED)
-            if not _may_get(use, need, trust):
+            if not self._may_get(use, need, trust):
                 continue
             standing = _standing(trust, need.idempotent and not use.remote)
             place = (standing, use.remote, use.other_lead)
@@ -279,6 +281,32 @@
                 trust_by_id[instance_id] = avoidance.Trust.LAST
         return trust_by_id
 
+    def _may_get(self, use: _Use, need: Need, trust: avoidance.Trust) -> bool:
+        """Tell whether an instance with a free slot may get a request."""
+        instance = use.instance
+        if instance.leaving or instance.id in need.excluded:
+            return False
+        if need.only is not None and instance.id not in need.only:
+            return False
+        if need.local and use.remote:
+            return False
+        if trust is avoidance.Trust.ON_TRIAL and use.starts:
+            # One request at a time tries it.
+            return False
+        if trust is avoidance.Trust.AVOIDED:
+            return self._may_try(use, need)
+        return True
+
+    def _may_try(self, use: _Use, need: Need) -> bool:
+        """Tell whether a request may try an instance that is avoided.
+
+        A single failure is an ordinary one as often as not, so what may be
+        repeated tries the instance, one at a time, before it waits.
+        """
+        if not need.idempotent or use.starts:
+            return False
+        return self.avoidance.failures(use.instance.id) < CONFIRMED_FAILURES
+
     def _rank(
         self, use: _Use, need: Need, occupied: float, now: float
     ) -> tuple[float, ...]:
@@ -295,21 +323,6 @@
         )
 
 
-def _may_get(use: _Use, need: Need, trust: avoidance.Trust) -> bool:
-    """Tell whether an instance with a free slot may get a request."""
-    instance = use.instance
-    if instance.leaving or instance.id in need.excluded:
-        return False
-    if need.only is not None and instance.id not in need.only:
-        return False
-    if need.local and use.remote:
-        return False
-    if trust is avoidance.Trust.ON_TRIAL and use.starts:
-        # One request at a time tries it.
-        return False
-    return trust is not avoidance.Trust.AVOIDED
-
-
 def _standing(trust: avoidance.Trust, may_try: bool) -> float:
     """Return the order by trust; trials go first where they do no harm."""
     if trust is avoidance.Trust.ON_TRIAL and may_try:
--- a/tests/decisions/test_balance.py
+++ b/tests/decisions/test_balance.py
@@ -76,6 +76,30 @@
         self.assertNotIn("i-2", ids)
         self.assertIsNone(made.choose(ONCE, 1.1))
 
+    def test_what_may_be_repeated_tries_it_before_it_waits(self):
+        made = self.make(*(instance(number) for number in range(4)))
+        made.avoidance.failed("i-2", 1.0)
+        ids = [made.choose(AGAIN, 1.1).id for _ in range(7)]
+        self.assertNotIn("i-2", ids[:6])
+        self.assertEqual("i-2", ids[6])
+        # One at a time.
+        self.assertIsNone(made.choose(AGAIN, 1.1))
+
+    def test_after_two_failures_nothing_tries_it(self):
+        made = self.make(*(instance(number) for number in range(4)))
+        made.avoidance.failed("i-2", 1.0)
+        made.avoidance.failed("i-2", 1.0)
+        ids = [made.choose(AGAIN, 1.1).id for _ in range(6)]
+        self.assertNotIn("i-2", ids)
+        self.assertIsNone(made.choose(AGAIN, 1.1))
+
+    def test_an_instance_of_another_vm_lends_one_slot_while_it_is_used(self):
+        made = self.make(instance(0))
+        for _ in range(30):
+            made.note_load("i-0", balance.Load(2, 0, 2), 1.0)
+        self.assertIsNotNone(made.choose(ONCE, 5.0))
+        self.assertIsNone(made.choose(ONCE, 5.0))
+
     def test_the_floor_stays_in_use_whatever_is_suspected(self):
         made = self.make(*(instance(number) for number in range(10)))
         for number in range(10):
