--- a/packages/decisions/src/primrosemill/decisions/entry_points.py
+++ b/packages/decisions/src/primrosemill/decisions/entry_points.py
@@ -1,9 +1,10 @@
 """Chooses the few VMs of each failure domain that callers are sent to.
 
 Few VMs know the slots of their instances better than many, so a domain has
-only as many entry points as its instances can keep busy. They come from
-rendezvous hashing over the live VMs: every VM names the same without a
-message, and one that comes or goes moves its own place only.
+only as many entry points as its instances can keep busy. VMs that can carry
+clearly more go first; among equals rendezvous hashing decides. So every VM
+names the same without a message, and one that comes or goes moves its own
+place only.
 """
 
 import math
@@ -12,9 +13,10 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import homes as home_vms
 from primrosemill.decisions import leads
+from primrosemill.decisions import vm_capacity
 
 LEAST_ENTRY_POINTS = 2  # in a failure domain, so that one may fail
-SLOTS_PER_POINT = 14.0  # slots of instances that one VM keeps busy with ease
+SLOTS_PER_POINT = 18.0  # slots of instances that one VM keeps busy with ease
 
 
 class View(typing.NamedTuple):
@@ -34,10 +36,10 @@
         vms_by_domain.setdefault(vm.domain, []).append(vm)
     count = _count(view.slots, len(vms_by_domain))
     if domain in vms_by_domain:
-        return _heaviest(vms_by_domain[domain], domain, count)
+        return _strongest(vms_by_domain[domain], domain, count)
     found: list[home_vms.Vm] = []
     for name in sorted(vms_by_domain):
-        found += _heaviest(vms_by_domain[name], name, count)
+        found += _strongest(vms_by_domain[name], name, count)
     return tuple(found)
 
 
@@ -63,11 +65,17 @@
     return max(LEAST_ENTRY_POINTS, wanted)
 
 
-def _heaviest(
+def _strongest(
     vms: list[home_vms.Vm], domain: str, count: int
 ) -> tuple[home_vms.Vm, ...]:
     seed = home_vms.seed_of(domain)
     ranked = sorted(
-        vms, key=lambda vm: (home_vms.weigh(seed, vm.id), vm.id), reverse=True
+        vms,
+        key=lambda vm: (
+            vm_capacity.level(vm.carries),
+            home_vms.weigh(seed, vm.id),
+            vm.id,
+        ),
+        reverse=True,
     )
     return tuple(ranked[:count])
--- a/packages/decisions/src/primrosemill/decisions/homes.py
+++ b/packages/decisions/src/primrosemill/decisions/homes.py
@@ -18,10 +18,14 @@
 
 
 class Vm(typing.NamedTuple):
-    """An entry VM and the failure domain it runs in."""
+    """An entry VM and the failure domain it runs in.
+
+    ``carries`` is in requests a second; 0 where nobody told.
+    """
 
     id: str
     domain: str
+    carries: int = 0
 
 
 class HomeNeed(typing.NamedTuple):
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -51,7 +51,8 @@
 
     ``incarnation`` is new with every process; ``counter`` rises when the VM
     itself changes its entry or refutes a suspicion. ``watching`` tells that
-    it holds a working watch on the store.
+    it holds a working watch on the store. ``carries`` is how many requests a
+    second the VM can serve at most; 0 where it does not tell.
     """
 
     vm_id: Name
@@ -63,6 +64,7 @@
     liveness: Liveness = Liveness.LIVE
     leaving: bool = False
     watching: bool = False
+    carries: Count = 0
 
 
 Entries = typing.Annotated[tuple[Entry, ...], msgspec.Meta(max_length=24)]
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -53,7 +53,10 @@
 
 
 class Identity(typing.NamedTuple):
-    """Who this process is; the incarnation is its start in ms."""
+    """Who this process is; the incarnation is its start in ms.
+
+    ``carries`` is how many requests a second it can serve; 0 if unknown.
+    """
 
     fleet: str
     vm_id: str
@@ -62,6 +65,7 @@
     domain: str
     incarnation: int
     secret: bytes = b""
+    carries: int = 0
 
 
 class Platform(typing.NamedTuple):
@@ -148,6 +152,7 @@
             identity.domain,
             identity.incarnation,
             0,
+            carries=identity.carries,
         )
         self.membership = membership.Membership(
             own, self._first_peers, self._generator, now
--- a/packages/proxy/src/primrosemill/proxy/entry_settings.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_settings.py
@@ -6,6 +6,7 @@
 import expression
 
 from primrosemill.configuration import checks
+from primrosemill.decisions import vm_capacity
 from primrosemill.proxy import settings as proxy_settings
 from primrosemill.proxy import settings_faults as faults
 from primrosemill.proxy import settings_schema as schema
@@ -14,7 +15,8 @@
 class EntrySettings(typing.NamedTuple):
     """What an entry VM must know before it reads the feed.
 
-    Times are in seconds.
+    Times are in seconds. ``processor`` is the share of a core that the
+    process gets, ``link`` is in megabits a second; 0 where unknown.
     """
 
     fleet: str
@@ -33,6 +35,13 @@
     floor_share: float = 0.7
     retry_share: float = 0.2
     retry_slack: float = 0.0
+    processor: float = 0.0
+    link: float = 0.0
+
+    @property
+    def carries(self) -> int:
+        """Return how many requests a second the VM can serve."""
+        return vm_capacity.requests_a_second(self.processor, self.link)
 
     def vm_settings(self) -> proxy_settings.Settings:
         """Return the settings in the form that the fleet's parts read."""
@@ -49,6 +58,7 @@
             self.first_peers,
             self.peer_key,
             stop_seconds=self.stop_seconds,
+            carries=self.carries,
         )
 
 
@@ -61,6 +71,23 @@
 
 KEYS = (
     *(key for key in schema.KEYS if key.field in ("fleet", "vm_id", "domain")),
+    schema.Key(
+        "vm",
+        "processor",
+        "processor",
+        schema.Number(0.0, 1_000.0),
+        "0",
+        "The share of one processor core that the process gets; 0: unknown.",
+    ),
+    schema.Key(
+        "vm",
+        "link",
+        "link",
+        schema.Number(0.0, 1_000_000.0),
+        "0",
+        "What the VM's network link carries, in megabits a second; 0: "
+        "unknown.",
+    ),
     schema.Key(
         "feed",
         "address",
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -56,7 +56,7 @@
     ) -> None:
         self._settings = settings
         self._adapter = adapter
-        self._own = homes.Vm(settings.vm_id, settings.domain)
+        self._own = homes.Vm(settings.vm_id, settings.domain, settings.carries)
         counts = counters.Counters(prometheus_client.CollectorRegistry())
         self._balancers = balancing.Balancers(
             settings.domain,
@@ -343,7 +343,7 @@
         for member in self.peers.present():
             if member.state in TAKES_CALLERS:
                 entry = member.entry
-                vms.append(homes.Vm(entry.vm_id, entry.domain))
+                vms.append(homes.Vm(entry.vm_id, entry.domain, entry.carries))
         services = self._document.services_by_name.values()
         slots = sum(
             instance.slots
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -57,6 +57,7 @@
             settings.domain,
             time.time_ns() // NANOSECONDS_PER_MS,
             settings.peer_key,
+            settings.carries,
         )
         hooks = node.Hooks(self._set_document, homes_by_service, self._observe)
         if feed_hooks is not None:
--- a/packages/proxy/src/primrosemill/proxy/settings.py
+++ b/packages/proxy/src/primrosemill/proxy/settings.py
@@ -38,6 +38,7 @@
     peer_key: bytes = b""
     waiting_requests: int = DEFAULT_WAITING_REQUESTS
     stop_seconds: float = DEFAULT_STOP_SECONDS
+    carries: int = 0
 
 
 class Entry(typing.NamedTuple):
