--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -41,6 +41,7 @@
 # A VM that is no entry point takes this fraction of an entry point's part:
 # only callers with old answers come to it.
 OTHERS_PART = 4
+STATUS_OK = 200
 SUSPICIONS_WAITING = 64  # that were not sent yet; later ones are dropped
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
@@ -226,6 +227,13 @@
         reply = self._adapter.answer_directions(
             scope["path"], scope["query_string"], self._direct
         )
+        if reply.status != STATUS_OK:
+            events.emit(
+                events.DIRECTIONS_REFUSED,
+                path=scope["path"],
+                status=reply.status,
+                members=len(self.peers.present()),
+            )
         await asgi.respond(send, *reply)
 
     def _direct(
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -211,6 +211,14 @@
     "slowly or were too large; the connection closes.",
     ("status",),
 )
+DIRECTIONS_REFUSED = Event(
+    "PM3011",
+    "directions_refused",
+    Level.WARNING,
+    "A caller that asked where to connect was told nothing: this VM knows no "
+    "entry point yet, or the path is another one.",
+    ("path", "status", "members"),
+)
 STANDING_CHANGED = Event(
     "PM4001",
     "standing_changed",
@@ -282,6 +290,7 @@
     REQUEST_RETRIED,
     REQUEST_ENDED,
     HEAD_REFUSED,
+    DIRECTIONS_REFUSED,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
