Find the id of a request in one place

Cause: the application read it twice, in two ways, for the attempts and for the log of the ending. Ruled out: reading it once a request; a request that is refused has no attempt that could hold it. Tests of the path and of outcomes pass.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -153,20 +153,17 @@
         try:
             ending = await self._resolve(scope, body, caller)
             await _conclude(ending, caller)
+            request_id = self._dialect.find_request_id(scope["headers"])
             self._reports.note_ending(
-                ending, started, trio.current_time(), self._id_of(scope)
+                ending,
+                started,
+                trio.current_time(),
+                attempts.text_of_id(request_id),
             )
         finally:
             self.in_flight -= 1
             caller.detach()
 
-    def _id_of(self, scope: asgi.Scope) -> str:
-        """Return the caller's id of a request, for the log."""
-        if self._dialect.request_id is None:
-            return ""
-        value = headers.find(scope["headers"], self._dialect.request_id)
-        return (value or b"").decode("latin-1")
-
     def waiting(self, service: str) -> int:
         """Return how many requests wait for a slot of a service."""
         return self._dispatchers_by_service[service].waiting
@@ -307,9 +304,6 @@
     timeout = dialect.parse_timeout(
         headers.find(lines, dialect.timeout), route.deadline
     )
-    request_id = None
-    if dialect.request_id is not None:
-        request_id = headers.find(lines, dialect.request_id)
     target = scope["raw_path"]
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
@@ -328,6 +322,6 @@
         now + timeout,
         now,
         route,
-        request_id,
+        dialect.find_request_id(lines),
         dialect,
     )
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -46,7 +46,7 @@
     @property
     def id_text(self) -> str:
         """Return the caller's id of the request, for the log."""
-        return (self.request_id or b"").decode("latin-1")
+        return text_of_id(self.request_id)
 
     @property
     def route_name(self) -> str:
@@ -54,6 +54,11 @@
         return self.route.name if self.route is not None else ""
 
 
+def text_of_id(request_id: bytes | None) -> str:
+    """Return a caller's id of a request as the log shows it."""
+    return (request_id or b"").decode("latin-1")
+
+
 class Answer(typing.NamedTuple):
     """An answer whose start is held; ``whole`` if that is all of it.
 
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -76,5 +76,11 @@
     hold_unsized: bool = False
     replay_size: int = replay.BUFFER_SIZE
 
+    def find_request_id(self, lines: asgi.Headers) -> bytes | None:
+        """Return the caller's id of a request, or None where it has none."""
+        if self.request_id is None:
+            return None
+        return headers.find(lines, self.request_id)
+
 
 OWN = Dialect()
