Log the members that come, are suspected and go, and the own watch

Cause: whoever is on call could not tell from the logs when a VM held another one for suspect or gone, nor which VMs watched the store. Ruled out: logging in the membership itself; the product's parts tell what they observe, and the daemon logs it. Before: no line. After: PM5002 for each new state of a member, PM5003 when a watch begins or ends.

--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -149,9 +149,15 @@
                 now, heard, len(self._domain_peers())
             ):
                 await self._read_until_failure()
-                self._view.set_watching(False)
+                self._set_watching(False)
             await trio.sleep(STEP)
 
+    def _set_watching(self, watching: bool) -> None:
+        if self._view.own.watching != watching:
+            others = self._readers_heard()
+            self._observe(observations.WatchChanged(watching, others))
+        self._view.set_watching(watching)
+
     async def _read_until_failure(self) -> None:
         result = await self._feed.read()
         if result.is_ok():
@@ -164,7 +170,7 @@
             await self._take_read(result.ok)
             if self._choice.should_stop(self._readers_heard()):
                 return
-            self._view.set_watching(True)
+            self._set_watching(True)
             if result.ok.batch.items:
                 await trio.sleep(WATCH_PAUSE)
             result = await self._watch()
--- a/packages/fleet/src/primrosemill/fleet/members.py
+++ b/packages/fleet/src/primrosemill/fleet/members.py
@@ -45,10 +45,21 @@
     return entry.incarnation, entry.counter, entry.liveness
 
 
+OnChange = typing.Callable[[Member | None, Member], None]
+
+
+def _ignore_change(before: Member | None, after: Member) -> None:
+    pass
+
+
 class MemberTable:
-    """Holds the members other than this VM, by id."""
+    """Holds the members other than this VM, by id.
+
+    ``on_change`` is told of each entry that is kept, with the one before.
+    """
 
     def __init__(self) -> None:
+        self.on_change: OnChange = _ignore_change
         self.members_by_id: dict[str, Member] = {}
         self.present_by_id: dict[str, messages.Entry] = {}
         self.suspect_ids: set[str] = set()
@@ -118,7 +129,9 @@
     def _keep(self, member: Member) -> None:
         """Store a member, and index it so that ticks need no full scan."""
         vm_id = member.entry.vm_id
+        before = self.members_by_id.get(vm_id)
         self.members_by_id[vm_id] = member
+        self.on_change(before, member)
         self.suspect_ids.discard(vm_id)
         if member.entry.liveness is messages.Liveness.GONE:
             self.present_by_id.pop(vm_id, None)
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -157,6 +157,7 @@
         self.membership = membership.Membership(
             own, self._first_peers, self._generator, now
         )
+        self.membership.table.on_change = self._observe_member
         self.spread = spread.Spread(identity.fleet, self._generator, now)
         self.spread.peers_expected = (
             bool(self._first_peers) or self._platform.vm_list is not None
@@ -206,6 +207,26 @@
     def _observe_refusal(self, reason: wire.RefusalReason) -> None:
         self._hooks.observe(observations.MessageRefused(reason))
 
+    def _observe_member(
+        self, before: members.Member | None, after: members.Member
+    ) -> None:
+        entry = after.entry
+        same_process = (
+            before is not None
+            and before.entry.incarnation == entry.incarnation
+        )
+        if same_process and before.state is after.state:
+            return
+        self._hooks.observe(
+            observations.MemberChanged(
+                entry.vm_id,
+                entry.domain,
+                entry.incarnation,
+                before.state.value if before is not None else "",
+                after.state.value,
+            )
+        )
+
     async def wait_until_in_force(self) -> None:
         """Return once a configuration is in force here."""
         await self.follower.in_force.wait()
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -72,6 +72,23 @@
     bad: feed.BadItem
 
 
+class MemberChanged(typing.NamedTuple):
+    """A VM has another state in this VM's view; ``before`` is empty if new."""
+
+    vm_id: str
+    domain: str
+    incarnation: int
+    before: str
+    state: str
+
+
+class WatchChanged(typing.NamedTuple):
+    """A watch of the feed began or ended here; ``others`` go on."""
+
+    watching: bool
+    others: int
+
+
 Observation = (
     MessageRefused
     | EvidenceRejected
@@ -83,6 +100,8 @@
     | PullFailed
     | HistoryLost
     | BadItemRead
+    | MemberChanged
+    | WatchChanged
 )
 Observer = typing.Callable[[Observation], None]
 
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -141,6 +141,10 @@
             events.emit(events.FEED_HISTORY_LOST, revision=observation.after)
         elif isinstance(observation, observations.BadItemRead):
             events.emit(events.VALUE_REFUSED, **observation.bad._asdict())
+        elif isinstance(observation, observations.MemberChanged):
+            events.emit(events.MEMBER_CHANGED, **observation._asdict())
+        elif isinstance(observation, observations.WatchChanged):
+            events.emit(events.WATCH_CHANGED, **observation._asdict())
 
     def _log_refusal(self, faults: tuple[typing.Any, ...]) -> None:
         events.emit(
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -256,6 +256,22 @@
         *("cause", "request_id"),
     ),
 )
+MEMBER_CHANGED = Event(
+    "PM5002",
+    "member_changed",
+    Level.INFO,
+    "Another VM has a new state in this VM's view. `before` is empty for a VM "
+    "that is new; another incarnation is another process.",
+    ("vm_id", "domain", "incarnation", "before", "state"),
+)
+WATCH_CHANGED = Event(
+    "PM5003",
+    "watch_changed",
+    Level.INFO,
+    "This VM begins or ends to watch the feed for its failure domain, where "
+    "`others` more do.",
+    ("watching", "others"),
+)
 SUSPICION_DROPPED = Event(
     "PM5001",
     "suspicion_dropped",
@@ -296,6 +312,8 @@
     INSTANCE_GONE,
     TRUST_CHANGED,
     SUSPICION_DROPPED,
+    MEMBER_CHANGED,
+    WATCH_CHANGED,
 )
 
 
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -6,6 +6,7 @@
 from primrosemill.fleet import membership
 from primrosemill.fleet import messages
 from primrosemill.fleet import node
+from primrosemill.fleet import observations
 from tests.builders import feeds as builders
 
 IP = "127.0.0.1"
@@ -17,8 +18,10 @@
 
     def __init__(self, number, source, first_peers=()):
         self.changes = []
+        self.observed = []
         hooks = node.Hooks(
             lambda document: None,
+            observe=self.observed.append,
             on_change=lambda applied, told_by, now: self.changes.append(
                 (applied, told_by)
             ),
@@ -130,3 +133,38 @@
             self.assertEqual([(told, "a")], heard)
 
         run_two(check)
+
+    def test_a_watch_that_begins_and_ends_is_observed(self):
+        async def check(first, second, source, other):
+            await until(lambda: watches(first) == [True])
+            source.fault = builders.UNREACHABLE
+            await until(lambda: watches(first) == [True, False])
+
+        run_two(check)
+
+    def test_a_member_that_comes_and_goes_is_observed(self):
+        async def check(first, second, source, other):
+            # A VM is new to others before it takes callers.
+            await until(lambda: states(first) == [("", "leaving")])
+            await second.node.announce_serving()
+            await until(lambda: ("leaving", "live") in states(first))
+            await second.node.announce_gone()
+            await until(lambda: ("live", "gone") in states(first))
+
+        run_two(check)
+
+
+def watches(vm):
+    return [
+        each.watching
+        for each in vm.observed
+        if isinstance(each, observations.WatchChanged)
+    ]
+
+
+def states(vm):
+    return [
+        (each.before, each.state)
+        for each in vm.observed
+        if isinstance(each, observations.MemberChanged)
+    ]
