--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -1,8 +1,9 @@
 """Chooses the instance that gets the next request of one service.
 
 An instance is used while it has a slot to spare, counted from this VM's own
-requests and from the load that the instance told in its last answer. Among
-those, trusted instances go before suspect ones, then those of the VM's own
+requests and from the load that the instance told in its last answer. That
+load fades: to nothing where this VM leads the instance, else to what others
+usually hold at such instances. Among those with a slot, trusted instances go before suspect ones, then those of the VM's own
 failure domain, then those that this VM leads. A request that must not be
 repeated prefers an instance that has just answered well, any other one the
 instance that has not been heard of for longest; then the least loaded goes.
@@ -180,7 +181,7 @@
         best_rank: tuple[float, ...] = ()
         trust_by_id = self._suspects(now)
         for use in self._uses_by_id.values():
-            occupied = self._occupied(use, now)
+            occupied = self._held_unless_full(use, now)
             if occupied is None or now < use.paused_until:
                 continue
             trust = trust_by_id.get(use.instance.id, TRUSTED)
@@ -242,8 +243,8 @@
         """Return when a choice may succeed without a release."""
         return now + SHED_PAUSE / 4
 
-    def _occupied(self, use: _Use, now: float) -> float | None:
-        """Return what an instance probably holds; None if it is full.
+    def _held_unless_full(self, use: _Use, now: float) -> float | None:
+        """Return the requests an instance probably holds; None if full.
 
         At an instance that another VM leads, this one borrows few slots, as
         all others may do so at the same time. One request may wait there:
