--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -3,10 +3,11 @@
 An instance is used while it has a slot to spare, counted from this VM's own
 requests and from the load that the instance told in its last answer. That
 load fades: to nothing where this VM leads the instance, else to what others
-usually hold at such instances. Among those with a slot, trusted instances go before suspect ones, then those of the VM's own
-failure domain, then those that this VM leads. A request that must not be
-repeated prefers an instance that has just answered well, any other one the
-instance that has not been heard of for longest; then the least loaded goes.
+usually hold at such instances. Among those with a slot, trusted instances
+go before suspect ones, then those of the VM's own failure domain, then those
+that this VM leads. A request that must not be repeated prefers an instance
+that has just answered well, any other one the instance that has not been
+heard of for longest; then the least loaded goes.
 """
 
 import math
