Log the second attempt that races a slow one

Cause: a hedge showed in the logs only as a second request_sent, and nothing told why. Ruled out: a field of request_sent; the observer of attempts does not know what made them. Before: no line.

--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -50,6 +50,12 @@
         """Note an attempt that ended."""
         ...
 
+    def note_hedge(
+        self, request_id: str, instance_id: str, seconds: float
+    ) -> None:
+        """Note a second attempt beside one that takes so long already."""
+        ...
+
     def note_retry(self, failure: Failure, request_id: str) -> None:
         """Note an attempt that another one follows."""
         ...
@@ -310,7 +316,15 @@
             return None
         wish = self._wish()._replace(excluded=frozenset(sent))
         instance = self._context.dispatcher.try_acquire(wish)
-        return None if instance is None else self._launch(instance)
+        if instance is None:
+            return None
+        outgoing = self._context.outgoing
+        self._reports.note_hedge(
+            outgoing.id_text,
+            instance.id,
+            trio.current_time() - outgoing.arrived,
+        )
+        return self._launch(instance)
 
     async def _relay(
         self, flight: flights.Flight, answer: attempts.Answer
--- a/packages/proxy/src/primrosemill/proxy/reports.py
+++ b/packages/proxy/src/primrosemill/proxy/reports.py
@@ -57,6 +57,18 @@
         if isinstance(end.outcome, outcomes.Answered):
             self._counters.attempt_times.observe(end.elapsed)
 
+    def note_hedge(
+        self, request_id: str, instance_id: str, seconds: float
+    ) -> None:
+        """Log a second attempt beside one that takes so long already."""
+        if self._each_request:
+            events.emit(
+                events.REQUEST_HEDGED,
+                request_id=request_id,
+                instance_id=instance_id,
+                after=round(seconds, 4),
+            )
+
     def note_retry(self, failure: exchange.Failure, request_id: str) -> None:
         """Count an attempt that another one follows."""
         self._counters.count_retry(failure)
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -219,6 +219,14 @@
     "entry point yet, or the path is another one.",
     ("path", "status", "members"),
 )
+REQUEST_HEDGED = Event(
+    "PM3012",
+    "request_hedged",
+    Level.INFO,
+    "The answer takes `after` seconds already, so the request is sent to a "
+    "second instance, too.",
+    ("request_id", "instance_id", "after"),
+)
 STANDING_CHANGED = Event(
     "PM4001",
     "standing_changed",
@@ -307,6 +315,7 @@
     REQUEST_ENDED,
     HEAD_REFUSED,
     DIRECTIONS_REFUSED,
+    REQUEST_HEDGED,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
