Work out when to come back in one place

Cause: the queue and the waiting line had the same sum, with other limits. Ruled out: one limit for both; callers of the users' platform come back sooner.

--- a/packages/decisions/src/primrosemill/decisions/queue.py
+++ b/packages/decisions/src/primrosemill/decisions/queue.py
@@ -42,6 +42,17 @@
     evicted: Waiter | None
 
 
+def retry_after(waiting: int, drain_rate: float | None, most: float) -> float:
+    """Return when half of those waiting will have gone, in seconds.
+
+    ``drain_rate`` is in requests a second; None means that it is not known.
+    """
+    if not drain_rate:
+        return most if waiting else LEAST_RETRY_AFTER
+    due = waiting / 2 / drain_rate
+    return min(most, max(LEAST_RETRY_AFTER, due))
+
+
 class WaitQueue:
     """Holds the waiters of one service."""
 
@@ -95,10 +106,7 @@
 
     def retry_after(self, drain_rate: float | None) -> float:
         """Return when half of the queue will have drained, in seconds."""
-        if not drain_rate:
-            return MOST_RETRY_AFTER if len(self) else LEAST_RETRY_AFTER
-        due = len(self) / 2 / drain_rate
-        return min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, due))
+        return retry_after(len(self), drain_rate, MOST_RETRY_AFTER)
 
     def pop(self, now: float) -> Waiter | None:
         """Take the next waiter that can still start in time.
--- a/packages/decisions/src/primrosemill/decisions/waiting_line.py
+++ b/packages/decisions/src/primrosemill/decisions/waiting_line.py
@@ -10,10 +10,10 @@
 import typing
 
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import queue
 
 CAPACITY = 1_000  # requests a service
 RATE_WINDOW = 1.0  # seconds over which arrivals and departures are counted
-LEAST_RETRY_AFTER = 0.05  # seconds
 MOST_RETRY_AFTER = 5.0  # seconds
 CAUTION = 0.8  # of the time left that an estimated wait may use
 
@@ -149,10 +149,7 @@
 
     def retry_after(self, drain_rate: float | None) -> float:
         """Return when half of the line will have gone, in seconds."""
-        if not drain_rate:
-            return MOST_RETRY_AFTER if len(self) else LEAST_RETRY_AFTER
-        due = len(self) / 2 / drain_rate
-        return min(MOST_RETRY_AFTER, max(LEAST_RETRY_AFTER, due))
+        return queue.retry_after(len(self), drain_rate, MOST_RETRY_AFTER)
 
     def _overtaking(self, waiter: Waiter, late: bool, now: float) -> float:
         """Return the rate of requests that will go before a waiter."""
