--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -96,8 +96,8 @@
 
     async def pull_members(self, entry: messages.Entry) -> None:
         """Merge the table of members of another VM."""
-        value = await self._pull_value(entry, pulls.MEMBERS_KEY)
-        entries = None if value is None else pulls.decode_members(value)
+        with self._link.open_requests(entry.ip, entry.port) as requests:
+            entries = await pulls.collect_members(requests)
         if entries is not None:
             self._view.merge_table(entries, trio.current_time())
 
@@ -257,7 +257,9 @@
     async def _pull_from(self, vm_id: str) -> None:
         entry = self._view.table.members_by_id[vm_id].entry
         wanted = self._heard_by_id.get(vm_id, 0)
-        value = await self._pull_value(entry, f"{SINCE}{self.mirror.revision}")
+        key = f"{SINCE}{self.mirror.revision}"
+        with self._link.open_requests(entry.ip, entry.port) as requests:
+            value = await pulls.collect_one(requests, key)
         batch = _decode_batch(value)
         if batch is not None:
             self._apply(batch, vm_id)
@@ -265,12 +267,6 @@
             self._failed_at_by_id[vm_id] = trio.current_time()
             self._observe(observations.PullFailed(vm_id, wanted))
 
-    async def _pull_value(
-        self, entry: messages.Entry, key: str
-    ) -> bytes | None:
-        with self._link.open_requests(entry.ip, entry.port) as requests:
-            return await pulls.collect_one(requests, key)
-
     async def _expire_retained(self) -> None:
         """Take retained instances as gone once their time is over."""
         while True:
--- a/packages/fleet/src/primrosemill/fleet/follower.py
+++ b/packages/fleet/src/primrosemill/fleet/follower.py
@@ -248,10 +248,7 @@
     async def pull_members(self, entry: messages.Entry) -> None:
         """Merge the table of members of another VM."""
         with self._link.open_requests(entry.ip, entry.port) as requests:
-            value = await pulls.collect_one(requests, pulls.MEMBERS_KEY)
-        if value is None:
-            return
-        entries = pulls.decode_members(value)
+            entries = await pulls.collect_members(requests)
         if entries is not None:
             self._view.merge_table(entries, trio.current_time())
 
--- a/packages/fleet/src/primrosemill/fleet/pulls.py
+++ b/packages/fleet/src/primrosemill/fleet/pulls.py
@@ -114,3 +114,11 @@
     """Pull one whole value from one VM; None where that failed."""
     collected = await collect(requests, [key])
     return None if collected is None else collected[key]
+
+
+async def collect_members(
+    requests: transport.Requests,
+) -> list[messages.Entry] | None:
+    """Pull the table of members of one VM; None where that failed."""
+    value = await collect_one(requests, MEMBERS_KEY)
+    return None if value is None else decode_members(value)
