Read a time limit in any unit with one function

Cause: the platform's header was parsed by a copy that differed in the unit, and its milliseconds were named in three modules.

--- a/packages/platform/src/primrosemill/platform/entries.py
+++ b/packages/platform/src/primrosemill/platform/entries.py
@@ -10,8 +10,6 @@
 from primrosemill.fleet import feed
 from primrosemill.platform import names
 
-MILLISECONDS = 1_000.0
-
 Whole = typing.Annotated[int, msgspec.Meta(ge=0)]
 Positive = typing.Annotated[int, msgspec.Meta(ge=1)]
 Span = typing.Annotated[float, msgspec.Meta(ge=0)]
@@ -112,7 +110,7 @@
         documents.LEAVING if leaving else documents.SERVING,
         entry["slots"],
         entry.get("born", 0),
-        entry["warmup_left_ms"] / MILLISECONDS,
+        entry["warmup_left_ms"] / names.MILLISECONDS,
     )
     return feed.Discovered(entry["service"], instance)
 
@@ -138,8 +136,8 @@
         documents.CallerBounds(
             limits["max_header_bytes"],
             limits["max_body_bytes"],
-            limits["header_timeout_ms"] / MILLISECONDS,
-            limits["idle_timeout_ms"] / MILLISECONDS,
+            limits["header_timeout_ms"] / names.MILLISECONDS,
+            limits["idle_timeout_ms"] / names.MILLISECONDS,
         ),
     )
 
@@ -154,9 +152,9 @@
         prefix,
         (),
         kind == names.IDEMPOTENT,
-        route["timeout_ms"] / MILLISECONDS,
+        route["timeout_ms"] / names.MILLISECONDS,
         route["name"],
-        route["target_latency_ms"] / MILLISECONDS,
+        route["target_latency_ms"] / names.MILLISECONDS,
         route["priority"],
         route["max_attempts"],
         _decode_shares(route, known),
--- a/packages/platform/src/primrosemill/platform/headers.py
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -1,7 +1,5 @@
 """Reads and writes the platform's headers as the proxy's dialect."""
 
-import math
-
 from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
 from primrosemill.platform import names
@@ -9,7 +7,6 @@
 from primrosemill.proxy import dialects
 from primrosemill.proxy import headers
 
-MILLISECONDS = 1_000.0
 STATUS_OTHER_INSTANCE = 421
 # Uploads of the users have 60 KB on average and 360 KB at most; few are in
 # flight at one VM, so whole ones can be kept.
@@ -24,20 +21,12 @@
 
 def parse_time_left(value: bytes | None, ceiling: float) -> float:
     """Return the caller's time left in seconds, at most the ceiling."""
-    if value is None:
-        return ceiling
-    try:
-        milliseconds = float(value)
-    except ValueError:
-        return ceiling
-    if not math.isfinite(milliseconds) or milliseconds < 0:
-        return ceiling
-    return min(milliseconds / MILLISECONDS, ceiling)
+    return headers.parse_timeout(value, ceiling, names.MILLISECONDS)
 
 
 def format_time_left(seconds: float) -> bytes:
     """Return the time left as a header value."""
-    milliseconds = max(LEAST_TIME_LEFT, int(seconds * MILLISECONDS))
+    milliseconds = max(LEAST_TIME_LEFT, int(seconds * names.MILLISECONDS))
     return str(milliseconds).encode()
 
 
--- a/packages/platform/src/primrosemill/platform/names.py
+++ b/packages/platform/src/primrosemill/platform/names.py
@@ -1,5 +1,8 @@
 """Names of the platform's interfaces, as its pages spell them."""
 
+# Parts of a second in which the platform counts.
+MILLISECONDS = 1_000.0
+
 # Keys of the store.
 INSTANCES = "servers/"
 ROUTING = "op/config"
--- a/packages/platform/src/primrosemill/platform/store.py
+++ b/packages/platform/src/primrosemill/platform/store.py
@@ -19,7 +19,6 @@
 MOST_PAGES = 1_000  # a store that never ends is a fault
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
-MILLISECONDS = 1_000
 
 
 class _Item(typing.TypedDict):
@@ -86,7 +85,7 @@
         query = {
             "prefix": names.EVERYTHING,
             "after": after,
-            "wait_ms": int(wait * MILLISECONDS),
+            "wait_ms": int(wait * names.MILLISECONDS),
         }
         result = await self._get(
             names.WATCH_PATH, query, wait + WATCH_MARGIN, _events_decoder
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -82,15 +82,18 @@
     return None
 
 
-def parse_timeout(value: bytes | None, ceiling: float) -> float:
+def parse_timeout(
+    value: bytes | None, ceiling: float, parts: float = 1.0
+) -> float:
     """Return the caller's time left in seconds, at most the ceiling.
 
-    A value that is no number, negative or infinite counts as absent.
+    The value counts ``parts`` of a second. One that is no number, negative
+    or infinite counts as absent.
     """
     if value is None:
         return ceiling
     try:
-        seconds = float(value)
+        seconds = float(value) / parts
     except ValueError:
         return ceiling
     if not math.isfinite(seconds) or seconds < 0:
