Stop a VM and tidy up its path in one place for both kinds

Cause: daemon.py and entry_vm.py each had the end of a stop and the loop of housekeeping. The end is stopping.Stopper now, and the path keeps house with its other clocks. The path also holds the routes that it compares in place of the document, and a constant that nothing read is gone. Ruled out: one stop for both: how long callers are still served differs.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -27,6 +27,7 @@
 from primrosemill.proxy import replay
 from primrosemill.proxy import reports
 
+HOUSEKEEPING_INTERVAL = 0.25  # seconds; far below a cold start
 HEADER_EXTRA = 4  # bytes of a header line besides its name and value
 
 Lookup = routes.Match | plugs.Refused
@@ -53,7 +54,7 @@
         self._counters = counts or counters.Counters()
         self._table: routes.RouteTable | None = None
         self._connections = connections.Connections()
-        self._routed: documents.Document | None = None
+        self._own_routes: tuple[documents.Route, ...] = ()
         self._splitter = splits.Splitter(generator)
         self._dialect = dialect
         self._dispatchers_by_service: dict[str, flights.Dispatcher] = {}
@@ -97,9 +98,8 @@
 
     def _set_routes(self, document: documents.Document) -> None:
         """Build the table, unless the document's own routes are the same."""
-        before, self._routed = self._routed, document
-        known = before.routes if before is not None else None
-        if document.routes and document.routes is known:
+        before, self._own_routes = self._own_routes, document.routes
+        if document.routes and document.routes is before:
             return
         self._table = routes.RouteTable(document)
         self._splitter.forget_others(document.routes)
@@ -111,17 +111,20 @@
             service, self._generator, alarm, self._queue_limit
         )
 
-    def keep_house(self) -> None:
+    async def _keep_house(self) -> None:
         """Grant slots that time made free and close expired connections."""
-        for dispatcher in self._dispatchers_by_service.values():
-            dispatcher.ramp_up()
-            dispatcher.wake()
-        self._connections.close_expired()
+        while True:
+            await trio.sleep(HOUSEKEEPING_INTERVAL)
+            for dispatcher in self._dispatchers_by_service.values():
+                dispatcher.ramp_up()
+                dispatcher.wake()
+            self._connections.close_expired()
 
     async def keep_time(self) -> None:
-        """Act when a time comes: grant slots, start hedges."""
+        """Act when a time comes: grant slots, start hedges, tidy up."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hedges.run)
+            nursery.start_soon(self._keep_house)
             while True:
                 await self._alarm.wait()
                 self._wake()
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -32,11 +32,9 @@
 from primrosemill.published import over_http
 from primrosemill.telemetry import events
 
-HOUSEKEEPING_INTERVAL = 0.25  # seconds
 HOMES_INTERVAL = 0.25  # seconds
 # Callers use an answered address for so long; a leaving VM serves them.
 ANSWER_LIFETIME = decided_addresses.LIFETIME
-TIME_OVER = "time over"
 
 
 class Ports(typing.NamedTuple):
@@ -95,6 +93,13 @@
         )
         self._address_point = addresses.AddressPoint(self._directory.find)
         self._scope = trio.CancelScope()
+        self._stopper = stopping.Stopper(
+            settings.vm_id,
+            self._callers,
+            self._application,
+            self.peers.node.announce_gone,
+            self._scope,
+        )
 
     async def run(
         self,
@@ -118,7 +123,6 @@
                     self._callers.run, ip, self._settings.caller_port
                 )
                 self._directory.set_caller_port(caller_port)
-                nursery.start_soon(self._keep_house)
                 nursery.start_soon(self._application.keep_time)
                 nursery.start_soon(self._keep_homes)
                 nursery.start_soon(self._detection.run, self.peers)
@@ -155,24 +159,13 @@
         await self.peers.node.announce_leaving()
         await trio.sleep(self._answer_lifetime)
         self._application.closing = True
-        with trio.move_on_after(self._settings.stop_seconds) as scope:
-            await self._callers.drain()
-        if scope.cancelled_caught:
-            self.stop_at_once(TIME_OVER)
-            return
-        await self.peers.node.announce_gone()
-        events.emit(events.VM_STOPPED, vm_id=self._settings.vm_id)
-        self._scope.cancel()
+        await self._stopper.finish(
+            trio.current_time() + self._settings.stop_seconds
+        )
 
     def stop_at_once(self, cause: str) -> None:
         """End run() now, whatever is in flight."""
-        events.emit(
-            events.VM_STOP_CUT_SHORT,
-            vm_id=self._settings.vm_id,
-            requests_in_flight=self._application.in_flight,
-            cause=cause,
-        )
-        self._scope.cancel()
+        self._stopper.cut_short(cause)
 
     def read_status(self) -> status.Status:
         """Return what the admin port tells."""
@@ -245,11 +238,6 @@
         self._assignments.set_document(document)
         collector.spare_new()
 
-    async def _keep_house(self) -> None:
-        while True:
-            await trio.sleep(HOUSEKEEPING_INTERVAL)
-            self._application.keep_house()
-
     async def _keep_homes(self) -> None:
         while True:
             self._assignments.set_vms(self._directory.vms())
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -1,5 +1,6 @@
 """Runs an entry VM whose instances are discovered through a feed."""
 
+import http
 import random
 
 import prometheus_client
@@ -27,9 +28,9 @@
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
 from primrosemill.proxy import status
+from primrosemill.proxy import stopping
 from primrosemill.telemetry import events
 
-HOUSEKEEPING_INTERVAL = 0.25  # seconds
 VIEW_INTERVAL = 0.25  # seconds between looks at the members
 # Of the time for a stop: so long requests are taken as before, because
 # callers hold old answers; then connections end.
@@ -41,7 +42,6 @@
 # A VM that is no entry point takes this fraction of an entry point's part:
 # only callers with old answers come to it.
 OTHERS_PART = 4
-STATUS_OK = 200
 SUSPICIONS_WAITING = 64  # that were not sent yet; later ones are dropped
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
@@ -97,6 +97,13 @@
         self._points: tuple[homes.Vm, ...] = ()
         self._leaving = False
         self._scope = trio.CancelScope()
+        self._stopper = stopping.Stopper(
+            settings.vm_id,
+            self._callers,
+            self._application,
+            self.peers.node.announce_gone,
+            self._scope,
+        )
         self._send_suspicions, self._suspicions = trio.open_memory_channel[
             messages.Suspicion
         ](SUSPICIONS_WAITING)
@@ -114,7 +121,6 @@
                 await nursery.start(self.peers.run)
                 await self.peers.node.wait_until_in_force()
                 await _listen(nursery, self._callers, settings.caller_address)
-                nursery.start_soon(self._keep_house)
                 nursery.start_soon(self._application.keep_time)
                 nursery.start_soon(self._keep_view)
                 nursery.start_soon(self._tell_suspicions)
@@ -141,24 +147,11 @@
         await self.peers.node.announce_leaving()
         await trio.sleep(SERVE_SHARE * allowed)
         end = started + (1.0 - EXIT_SHARE) * allowed
-        with trio.move_on_at(end) as scope:
-            await self._callers.drain()
-        if scope.cancelled_caught:
-            self.stop_at_once("time over")
-            return
-        await self.peers.node.announce_gone()
-        events.emit(events.VM_STOPPED, vm_id=self._settings.vm_id)
-        self._scope.cancel()
+        await self._stopper.finish(end)
 
     def stop_at_once(self, cause: str) -> None:
         """End run() now, whatever is in flight."""
-        events.emit(
-            events.VM_STOP_CUT_SHORT,
-            vm_id=self._settings.vm_id,
-            requests_in_flight=self._application.in_flight,
-            cause=cause,
-        )
-        self._scope.cancel()
+        self._stopper.cut_short(cause)
 
     def reload(
         self, settings: entry_settings.EntrySettings, cause: str
@@ -227,7 +220,7 @@
         reply = self._adapter.answer_directions(
             scope["path"], scope["query_string"], self._direct
         )
-        if reply.status != STATUS_OK:
+        if reply.status != http.HTTPStatus.OK:
             events.emit(
                 events.DIRECTIONS_REFUSED,
                 path=scope["path"],
@@ -335,11 +328,6 @@
         async for suspicion in self._suspicions:
             await self.peers.node.tell_suspicion(suspicion)
 
-    async def _keep_house(self) -> None:
-        while True:
-            await trio.sleep(HOUSEKEEPING_INTERVAL)
-            self._application.keep_house()
-
     async def _keep_view(self) -> None:
         while True:
             self._update_view()
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -13,7 +13,6 @@
 from primrosemill.proxy import hedging
 from primrosemill.proxy import plugs
 
-ANYWHERE: frozenset[str] = frozenset()
 ERROR_ANSWER = outcomes.Unknown(outcomes.UnknownReason.ERROR_ANSWER)
 BODY_TOO_LARGE = outcomes.Unknown(outcomes.UnknownReason.BODY_TOO_LARGE)
 TIMED_OUT = outcomes.Unknown(outcomes.UnknownReason.TIMEOUT)
