--- a/packages/standins/src/primrosemill/standins/asgi.py
+++ b/packages/standins/src/primrosemill/standins/asgi.py
@@ -15,6 +15,7 @@
 Handler = typing.Callable[
     [Scope, Receive, Send], typing.Coroutine[typing.Any, typing.Any, None]
 ]
+ServeStream = typing.Callable[[trio.SocketStream], typing.Awaitable[None]]
 Header = tuple[bytes, bytes]
 CONNECTION_KEY = "connection"
 KEEP_ALIVE_TIMEOUT = 60.0  # seconds
@@ -104,11 +105,24 @@
     task_status: trio.TaskStatus[Served] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until cancelled; reports the address once it listens."""
+    server = _Server(handler)
+    await serve_streams(
+        server.serve_connection, ip, port, task_status=task_status
+    )
+
+
+async def serve_streams(
+    serve_one: ServeStream,
+    ip: str,
+    port: int = 0,
+    *,
+    task_status: trio.TaskStatus[Served] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve connections as they are, without HTTP, until cancelled."""
     listeners = await trio.open_tcp_listeners(port, host=ip)
     bound_port = listeners[0].socket.getsockname()[1]
     task_status.started(Served(ip, bound_port))
-    server = _Server(handler)
-    await trio.serve_listeners(server.serve_connection, listeners)
+    await trio.serve_listeners(serve_one, listeners)
 
 
 async def read_body(receive: Receive) -> bytes:
--- a/packages/standins/src/primrosemill/standins/raw.py
+++ b/packages/standins/src/primrosemill/standins/raw.py
@@ -47,7 +47,4 @@
         task_status: trio.TaskStatus[asgi.Served] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled; reports the address once it listens."""
-        listeners = await trio.open_tcp_listeners(0, host=ip)
-        port = listeners[0].socket.getsockname()[1]
-        task_status.started(asgi.Served(ip, port))
-        await trio.serve_listeners(self._serve_one, listeners)
+        await asgi.serve_streams(self._serve_one, ip, task_status=task_status)
--- a/tests/builders/path.py
+++ b/tests/builders/path.py
@@ -11,6 +11,7 @@
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
 from primrosemill.standins import asgi
+from tests.builders import answers
 from tests.builders import configuration
 
 IP = "127.0.0.1"
@@ -91,19 +92,11 @@
         )
 
 
-def header(response: httpcore.Response, name: str) -> str | None:
-    """Return the first value of a header, or None."""
-    for each_name, value in response.headers:
-        if each_name.lower() == name.encode():
-            return value.decode()
-    return None
-
-
 def told(call: history.Call, response: httpcore.Response) -> history.Call:
     """Add what a caller was told to its call of a history."""
     size = call.size if response.status == 200 else len(response.content)
     return call._replace(
-        outcome=header(response, "x-outcome") or "",
+        outcome=answers.header(response, "x-outcome") or "",
         status=response.status,
         body=response.content,
         size=size,
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -188,13 +188,6 @@
         )
 
 
-def header(response: httpcore.Response, name: str) -> str | None:
-    for each_name, value in response.headers:
-        if each_name.lower() == name.encode():
-            return value.decode()
-    return None
-
-
 def runs(built: Running) -> list[users_instance.Run]:
     """Return what all instances ran."""
     return [run for each in built.instances for run in each.runs]
--- a/tests/platform/test_bounds.py
+++ b/tests/platform/test_bounds.py
@@ -4,6 +4,7 @@
 import trio
 
 from primrosemill.configuration import checks
+from tests.builders import answers
 from tests.builders import users_platform as builders
 
 LIMITS = {
@@ -93,7 +94,7 @@
                 built, builders.UPLOAD_PATH, method="POST", content=b"x" * 5001
             )
             self.assertEqual(413, response.status)
-            reason = builders.header(response, "x-outcome-reason")
+            reason = answers.header(response, "x-outcome-reason")
             self.assertEqual("body_too_large", reason)
             self.assertEqual([], builders.runs(built))
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -4,6 +4,7 @@
 
 from primrosemill.platform import endpoints
 from primrosemill.proxy import adapters
+from tests.builders import answers
 from tests.builders import users_platform as builders
 
 
@@ -70,7 +71,7 @@
                         served = await builders.call(built, builders.READ_PATH)
                         self.assertEqual(200, served.status)
                         self.assertEqual(
-                            "close", builders.header(served, "connection")
+                            "close", answers.header(served, "connection")
                         )
                         nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,12 +2,20 @@
 import trio
 
 from primrosemill.standins import users_instance
+from tests.builders import answers
 from tests.builders import users_platform as builders
 
 Manner = users_instance.Manner
 SIGNATURE = "primrosemill-server-signature"
 
 
+async def check_served(case, built, target, **request):
+    """Check that each of four requests is answered well."""
+    for number in range(4):
+        response = await builders.call(built, target, f"r{number}", **request)
+        case.assertEqual(200, response.status)
+
+
 class AnswerTest(testtools.TestCase):
     def test_an_answer_comes_back_whole_and_the_instance_is_named(self):
         async def check(built):
@@ -15,11 +23,11 @@
             self.assertEqual(200, response.status)
             self.assertEqual(users_instance.BODY, response.content)
             self.assertEqual(
-                "r7", builders.header(response, "primrosemill-request-id")
+                "r7", answers.header(response, "primrosemill-request-id")
             )
             (served,) = [each for each in built.instances if each.runs]
             self.assertEqual(
-                f"by.{served.id}", builders.header(response, SIGNATURE)
+                f"by.{served.id}", answers.header(response, SIGNATURE)
             )
             headers = served.runs[0].headers
             expected = headers["primrosemill-expect-instance"]
@@ -100,7 +108,7 @@
                 each.manner = Manner.ERROR
             response = await builders.call(built, builders.READ_PATH)
             self.assertEqual(500, response.status)
-            self.assertIsNotNone(builders.header(response, SIGNATURE))
+            self.assertIsNotNone(answers.header(response, SIGNATURE))
             self.assertEqual(2, len(builders.runs(built)))
 
         builders.run(check, count=3)
@@ -145,11 +153,7 @@
         async def check(built):
             first, second = built.instances
             first.manner = Manner.SHED
-            for number in range(4):
-                response = await builders.call(
-                    built, builders.ONCE_PATH, f"r{number}", method="POST"
-                )
-                self.assertEqual(200, response.status)
+            await check_served(self, built, builders.ONCE_PATH, method="POST")
             self.assertEqual(4, len(second.runs))
 
         builders.run(check)
@@ -158,11 +162,7 @@
         async def check(built):
             reused, _ = built.instances
             reused.id = "i-of-another-service"
-            for number in range(4):
-                response = await builders.call(
-                    built, builders.ONCE_PATH, f"r{number}", method="POST"
-                )
-                self.assertEqual(200, response.status)
+            await check_served(self, built, builders.ONCE_PATH, method="POST")
             self.assertEqual([], reused.runs)
 
         builders.run(check)
@@ -175,7 +175,7 @@
                 built, builders.ONCE_PATH, method="POST"
             )
             self.assertEqual(503, response.status)
-            wait = float(builders.header(response, "retry-after"))
+            wait = float(answers.header(response, "retry-after"))
             self.assertTrue(0 < wait < 10, wait)
             self.assertEqual([], builders.runs(built))
 
@@ -237,15 +237,13 @@
         async def check(built):
             shedding, other = built.instances
             shedding.manner = Manner.SHED
-            for number in range(4):
-                response = await builders.call(
-                    built,
-                    builders.UPLOAD_PATH,
-                    f"r{number}",
-                    "POST",
-                    content=b"x" * 300_000,
-                )
-                self.assertEqual(200, response.status)
+            await check_served(
+                self,
+                built,
+                builders.UPLOAD_PATH,
+                method="POST",
+                content=b"x" * 300_000,
+            )
             sizes = [len(each.body) for each in other.runs]
             self.assertEqual([300_000] * 4, sizes)
 
@@ -285,11 +283,7 @@
             hanging, _ = built.instances
             hanging.manner = Manner.HANG
             started = trio.current_time()
-            for number in range(4):
-                response = await builders.call(
-                    built, builders.READ_PATH, f"r{number}"
-                )
-                self.assertEqual(200, response.status)
+            await check_served(self, built, builders.READ_PATH)
             self.assertLess(trio.current_time() - started, 1.5)
 
         builders.run(check)
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -11,6 +11,7 @@
 from primrosemill.proxy import plugs
 from primrosemill.standins import faults
 from primrosemill.standins import instance
+from tests.builders import answers
 from tests.builders import path as builders
 
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -103,8 +104,8 @@
 
     def assert_outcome(self, response, status, outcome, reason=None):
         self.assertEqual(status, response.status)
-        self.assertEqual(outcome, builders.header(response, "x-outcome"))
-        self.assertEqual(reason, builders.header(response, "x-outcome-reason"))
+        self.assertEqual(outcome, answers.header(response, "x-outcome"))
+        self.assertEqual(reason, answers.header(response, "x-outcome-reason"))
 
 
 class NotRunTest(OutcomeCase):
@@ -123,7 +124,7 @@
                 path, builders.ONCE_PATH, method="POST"
             )
             self.assert_outcome(response, 503, "not-run", "retries_spent")
-            self.assertEqual("1", builders.header(response, "retry-after"))
+            self.assertEqual("1", answers.header(response, "retry-after"))
             self.assertEqual({"shed"}, set(self.recorder.reasons()))
 
         self.run_with([shed], check, deadline=0.2)
--- a/tests/proxy/test_refusals.py
+++ b/tests/proxy/test_refusals.py
@@ -3,6 +3,7 @@
 
 from primrosemill.proxy import plugs
 from primrosemill.standins import instance
+from tests.builders import answers
 from tests.builders import path as builders
 
 
@@ -36,5 +37,5 @@
         standin = instance.InstanceStandin("res-0", 0, 0.0)
         response = trio.run(self.call, standin, builders.ONCE_PATH, 0.5)
         self.assertEqual(503, response.status)
-        reason = builders.header(response, "x-outcome-reason")
+        reason = answers.header(response, "x-outcome-reason")
         self.assertEqual("retries_spent", reason)
--- a/tests/proxy/test_streaming.py
+++ b/tests/proxy/test_streaming.py
@@ -6,6 +6,7 @@
 from primrosemill.proxy import plugs
 from primrosemill.proxy import replay
 from primrosemill.standins import instance
+from tests.builders import answers
 from tests.builders import path as builders
 
 SHED = b"HTTP/1.1 503 X\r\nx-shed: 1\r\ncontent-length: 0\r\n\r\n"
@@ -106,7 +107,7 @@
                 self.assertEqual(200, response.status)
                 self.assertEqual(
                     str(len(PIECE) * PIECES),
-                    builders.header(response, "x-received-bytes"),
+                    answers.header(response, "x-received-bytes"),
                 )
 
         self.run_with([instance.InstanceStandin("res-0", 3, 0.0)], check)
@@ -119,7 +120,7 @@
                 )
                 self.assertEqual(200, response.status)
                 self.assertEqual(
-                    "5", builders.header(response, "x-received-bytes")
+                    "5", answers.header(response, "x-received-bytes")
                 )
 
         full = instance.InstanceStandin("res-0", 0, 0.0)
