--- a/packages/cli/src/primrosemill/cli/entry.py
+++ b/packages/cli/src/primrosemill/cli/entry.py
@@ -25,7 +25,7 @@
     required=True,
     envvar="PRIMROSEMILL_SETTINGS",
     type=click.Path(path_type=pathlib.Path),
-    help="The VM's INI file; see docs/settings.md.",
+    help="The VM's INI file; see docs/deploy.md.",
 )
 def command(path: pathlib.Path) -> None:
     """Run an entry VM whose instances are discovered.
