Believe instances that say they leave or want a pause

Cause: an answer with the platform's sign of leaving was passed on and the next request went to that instance all the same, until the feed told of it; while the feed is away nobody told. A 503 that asks for a pause was treated as any shed, with 0.1 s of rest.

Now both are kept beside the feed's state, by start of the instance: nothing new goes to a start that is leaving, whatever a later list or the floor says, its idle connections close and peers are told; a pause holds over new lists. Where all instances pause, a request that can't be served in time is refused at once with the time of the first return, spread over half a second. Damaged, endless and huge pauses are a typed fault, bounded by 300 s.

Also: what may only go where it was sent before is refused at once when that instance is gone, and the only instance of a service is asked again after it shed; both waited for their deadline before.

--- a/packages/configuration/src/primrosemill/configuration/document.py
+++ b/packages/configuration/src/primrosemill/configuration/document.py
@@ -65,6 +65,11 @@
     shares: tuple[Share, ...] = ()
     large_bodies: bool = False
 
+    @property
+    def patience(self) -> float:
+        """Return the seconds after which an answer loses worth."""
+        return self.target or self.deadline
+
 
 class Service(typing.NamedTuple):
     """A backend service with its instances, routes and limits.
--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -20,6 +20,8 @@
 # A large body waits for an instance of the own failure domain this long, as
 # a share of its route's target; then it crosses.
 LOCAL_PATIENCE = 0.2
+# Callers that were refused until a pause ends come back over so long.
+RETURN_SPREAD = 0.5  # seconds
 
 
 class Granted(typing.NamedTuple):
@@ -53,6 +55,7 @@
         floor_share: float = balance.FLOOR_SHARE,
     ) -> None:
         self.balance = balance.Balance(domain, generator, floor_share)
+        self._generator = generator
         self.times = usual_times.UsualTimes()
         self._line = waiting_line.WaitingLine()
         self._wishes_by_ticket: dict[int, dispatch.Wish] = {}
@@ -73,17 +76,19 @@
         if not wish.excluded and wish.only is None:
             # A further attempt is no further request.
             self._line.note_arrival(route.priority, now)
-        if not self.balance.size:
-            return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
+        refused = self._refuse_unserved(wish, now)
+        if refused is not None:
+            return refused
         if not self._line:
-            instance = self._choose(wish, now)
+            need = self._lasting_need(wish, now)
+            instance = self.balance.choose(need, now)
             if instance is not None:
                 return Granted(instance)
         self._next_ticket += 1
         waiter = waiting_line.Waiter(
             self._next_ticket,
             route.priority,
-            wish.arrived + (route.target or route.deadline),
+            wish.arrived + route.patience,
             wish.deadline,
             self.times.usual(route.name),
         )
@@ -95,13 +100,38 @@
         estimate = self._line.estimate_wait(waiter, now, drain_rate)
         return Waiting(waiter.ticket, estimate)
 
+    def _refuse_unserved(
+        self, wish: dispatch.Wish, now: float
+    ) -> waiting_line.Refused | None:
+        """Refuse what no instance can serve in time, however it waits."""
+        if not self.balance.size:
+            return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
+        if not self.balance.has_candidate(self._lasting_need(wish, now)):
+            return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
+        first_return = self.balance.first_return(now)
+        if first_return is None:
+            return None
+        work = self.times.usual(wish.route.name)
+        if first_return + work <= wish.arrived + wish.route.patience:
+            return None
+        return self._refuse_until(first_return, now)
+
+    def _refuse_until(
+        self, first_return: float, now: float
+    ) -> waiting_line.Refused:
+        spread = RETURN_SPREAD * self._generator.random()
+        return waiting_line.Refused(
+            outcomes.RefusalReason.INSTANCES_PAUSED,
+            first_return - now + spread,
+        )
+
     def take_spare(
         self, wish: dispatch.Wish, now: float
     ) -> documents.Instance | None:
         """Take a slot if one is free now that nobody waits for."""
         if self._line:
             return None
-        return self._choose(wish, now)
+        return self.balance.choose(self._need(wish, now), now)
 
     def release(
         self, instance_id: str, held: float, end: pool.End, now: float
@@ -130,7 +160,7 @@
         unmet: set[balance.Need] = set()
         for waiter in self._line.in_order(now):
             wish = self._wishes_by_ticket[waiter.ticket]
-            need = self._need(wish, now)
+            need = self._lasting_need(wish, now)
             if need in unmet:
                 continue
             instance = self.balance.choose(need, now)
@@ -144,6 +174,20 @@
             del self._wishes_by_ticket[waiter.ticket]
             refused = self._refuse(outcomes.RefusalReason.DEADLINE, now)
             wakeups.append(Wakeup(waiter.ticket, refused))
+        return wakeups + self._refuse_paused(now)
+
+    def _refuse_paused(self, now: float) -> list[Wakeup]:
+        """Refuse those who wait and can't be served after the pauses."""
+        first_return = self.balance.first_return(now)
+        if first_return is None:
+            return []
+        wakeups = []
+        for waiter in self._line.in_order(now):
+            if first_return + waiter.work <= waiter.deadline:
+                continue
+            self.leave(waiter.ticket)
+            refused = self._refuse_until(first_return, now)
+            wakeups.append(Wakeup(waiter.ticket, refused))
         return wakeups
 
     def next_wake(self, now: float) -> float | None:
@@ -171,16 +215,22 @@
             reason, self._line.retry_after(self.drain_rate(now))
         )
 
-    def _choose(
-        self, wish: dispatch.Wish, now: float
-    ) -> documents.Instance | None:
-        return self.balance.choose(self._need(wish, now), now)
-
     def _need(self, wish: dispatch.Wish, now: float) -> balance.Need:
         route = wish.route
         local = False
         if route.large_bodies and wish.only is None:
-            patience = LOCAL_PATIENCE * (route.target or route.deadline)
+            patience = LOCAL_PATIENCE * route.patience
             waited = now - wish.arrived
             local = waited < patience and self.balance.has_local(now)
         return balance.Need(wish.idempotent, wish.excluded, wish.only, local)
+
+    def _lasting_need(self, wish: dispatch.Wish, now: float) -> balance.Need:
+        """Return what a request asks for that waits until it is served.
+
+        Where all others are gone, an instance that it tried is better than
+        none.
+        """
+        need = self._need(wish, now)
+        if need.excluded and not self.balance.has_candidate(need):
+            return need._replace(excluded=frozenset())
+        return need
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -15,6 +15,7 @@
 import typing
 
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import announcements
 from primrosemill.decisions import avoidance
 from primrosemill.decisions import usual_times
 
@@ -65,6 +66,7 @@
     __slots__ = (
         "cold_until",
         "instance",
+        "leaving",
         "other_lead",
         "others",
         "others_at",
@@ -77,6 +79,7 @@
 
     def __init__(self, instance: documents.Instance, now: float) -> None:
         self.instance = instance
+        self.leaving = False
         self.room = 0.0
         self.remote = False
         self.other_lead = True
@@ -109,6 +112,7 @@
         floor_share: float = FLOOR_SHARE,
     ) -> None:
         self.avoidance = avoidance.Avoidance()
+        self.announcements = announcements.Announcements()
         self._floor_share = floor_share
         self.usual_time = usual_times.FIRST_GUESS
         self._domain = domain
@@ -120,9 +124,7 @@
     @property
     def size(self) -> int:
         """Return the number of instances that are not leaving."""
-        return sum(
-            not use.instance.leaving for use in self._uses_by_id.values()
-        )
+        return sum(not use.leaving for use in self._uses_by_id.values())
 
     @property
     def busy(self) -> int:
@@ -143,7 +145,7 @@
         """Tell whether the VM's own domain has an instance to trust."""
         for use in self._uses_by_id.values():
             instance = use.instance
-            if instance.leaving or instance.domain != self._domain:
+            if use.leaving or instance.domain != self._domain:
                 continue
             if self.avoidance.trust(instance.id, now) is TRUSTED:
                 return True
@@ -161,11 +163,17 @@
                 use = _Use(instance, now)
                 self.avoidance.forget(instance.id)
             use.instance = instance
+            use.leaving = self.announcements.is_leaving(instance)
+            pause_end = self.announcements.pause_end(instance)
+            use.paused_until = max(use.paused_until, pause_end)
             use.room = instance.slots + PART_LOAD
             use.remote = instance.domain != self._domain
             use.other_lead = instance.id not in self._led_ids
             self._uses_by_id[instance.id] = use
         self.avoidance.keep(self._uses_by_id)
+        self.announcements.keep(
+            [use.instance for use in self._uses_by_id.values()], now
+        )
 
     def set_led(self, led_ids: frozenset[str]) -> None:
         """Take the instances that this VM should fill first."""
@@ -240,6 +248,54 @@
             pause = SHED_PAUSE * (0.5 + self._generator.random())
             use.paused_until = now + pause
 
+    def note_leaving(self, instance_id: str, boot: int) -> bool:
+        """Send no more to an instance that is leaving.
+
+        Returns whether that is news.
+        """
+        use = self._uses_by_id.get(instance_id)
+        if use is None or use.instance.boot != boot:
+            return False
+        was_leaving = use.leaving
+        use.leaving = True
+        return self.announcements.note_leaving(use.instance) and (
+            not was_leaving
+        )
+
+    def note_pause(
+        self, instance_id: str, boot: int, seconds: float, now: float
+    ) -> None:
+        """Send nothing to an instance for as long as it asks for."""
+        use = self._uses_by_id.get(instance_id)
+        if use is None or use.instance.boot != boot:
+            return
+        self.announcements.note_pause(use.instance, seconds, now)
+        use.paused_until = max(use.paused_until, now + seconds)
+
+    def first_return(self, now: float) -> float | None:
+        """Return when the first instance takes requests again.
+
+        None where some instance has not asked for a pause, or none is left.
+        """
+        first = math.inf
+        for use in self._uses_by_id.values():
+            if use.leaving:
+                continue
+            end = self.announcements.pause_end(use.instance)
+            if end <= now:
+                return None
+            first = min(first, end)
+        return first if first < math.inf else None
+
+    def has_candidate(self, need: Need) -> bool:
+        """Tell whether any instance may get the request, now or later."""
+        for instance_id, use in self._uses_by_id.items():
+            if use.leaving or instance_id in need.excluded:
+                continue
+            if need.only is None or instance_id in need.only:
+                return True
+        return False
+
     def next_chance(self, now: float) -> float:
         """Return when a choice may succeed without a release."""
         return now + SHED_PAUSE / 4
@@ -289,7 +345,7 @@
     def _may_get(self, use: _Use, need: Need, trust: avoidance.Trust) -> bool:
         """Tell whether an instance with a free slot may get a request."""
         instance = use.instance
-        if instance.leaving or instance.id in need.excluded:
+        if use.leaving or instance.id in need.excluded:
             return False
         if need.only is not None and instance.id not in need.only:
             return False
--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -45,6 +45,7 @@
     CALLER_LIMIT = "caller_limit"
     QUEUE_FULL = "queue_full"
     NO_INSTANCE = "no_instance"
+    INSTANCES_PAUSED = "instances_paused"
     DEADLINE = "deadline"
     RETRIES_SPENT = "retries_spent"
     BODY_SENT = "body_sent"
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -36,6 +36,7 @@
     PULL_ANSWER = 7
     CHANGES = 8
     SUSPICION = 9
+    DEPARTURE = 10
 
 
 class Liveness(enum.IntEnum):
@@ -181,6 +182,14 @@
     seconds: float
 
 
+class Departure(typing.NamedTuple):
+    """Tells that an instance said to the sender that it is leaving."""
+
+    service: Name
+    instance_id: Name
+    boot: Count
+
+
 Message = (
     Ping
     | Ack
@@ -191,6 +200,7 @@
     | PullAnswer
     | Changes
     | Suspicion
+    | Departure
 )
 
 KINDS_BY_TYPE: dict[type, Kind] = {
@@ -203,4 +213,5 @@
     PullAnswer: Kind.PULL_ANSWER,
     Changes: Kind.CHANGES,
     Suspicion: Kind.SUSPICION,
+    Departure: Kind.DEPARTURE,
 }
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -38,6 +38,8 @@
 
 # Gets what a peer suspects, and the peer's failure domain.
 SuspicionHandler = typing.Callable[[messages.Suspicion, str], None]
+# Gets what an instance said of itself to a peer.
+DepartureHandler = typing.Callable[[messages.Departure], None]
 
 
 def _ignore_report(report: evidence.Report, measured: float) -> None:
@@ -52,6 +54,10 @@
     pass
 
 
+def _ignore_departure(departure: messages.Departure) -> None:
+    pass
+
+
 class Identity(typing.NamedTuple):
     """Who this process is; the incarnation is its start in ms.
 
@@ -89,6 +95,7 @@
     on_report: ReportHandler = _ignore_report
     on_change: feed_follower.ChangeHandler = _ignore_change
     on_suspicion: SuspicionHandler = _ignore_suspicion
+    on_departure: DepartureHandler = _ignore_departure
 
 
 class Node:
@@ -275,6 +282,9 @@
         if isinstance(message, messages.Suspicion):
             self._take_suspicion(received.sender_id, message)
             return
+        if isinstance(message, messages.Departure):
+            self._hooks.on_departure(message)
+            return
         outgoing = self.membership.receive(message, trio.current_time())
         if isinstance(message, messages.Ping | messages.Ack):
             self.follower.hear(received.sender_id, message.version)
@@ -287,13 +297,13 @@
         if member is not None:
             self._hooks.on_suspicion(suspicion, member.entry.domain)
 
-    async def tell_suspicion(self, suspicion: messages.Suspicion) -> None:
-        """Tell the VMs of this failure domain what has just failed."""
-        own = self.membership.own
+    async def tell_domains(
+        self, message: messages.Message, domains: frozenset[str]
+    ) -> None:
+        """Send a message to the VMs of some failure domains."""
         for entry in list(self.membership.table.present_by_id.values()):
-            if entry.domain != own.domain:
-                continue
-            await self._link.send(entry.ip, entry.port, suspicion)
+            if entry.domain in domains:
+                await self._link.send(entry.ip, entry.port, message)
 
     def set_first_peers(self, peers: tuple[membership.Peer, ...]) -> None:
         """Take other first peers, as the settings changed."""
--- a/packages/platform/src/primrosemill/platform/headers.py
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -52,12 +52,18 @@
     return balance.Load(*(int(part) for part in parts))
 
 
+def tells_leaving(lines: asgi.Headers) -> bool:
+    """Tell whether an answer says that its instance is leaving."""
+    return headers.find(lines, names.LEAVING_SIGN) == names.LEAVING_VALUE
+
+
 DIALECT = dialects.Dialect(
     timeout=names.TIME_LEFT,
     parse_timeout=parse_time_left,
     format_timeout=format_time_left,
     read_not_run=read_not_run,
     read_load=read_load,
+    tells_leaving=tells_leaving,
     request_id=names.REQUEST_ID,
     expected_instance=names.EXPECTED_INSTANCE,
     status_by_refusal=STATUS_BY_REFUSAL,
--- a/packages/platform/src/primrosemill/platform/names.py
+++ b/packages/platform/src/primrosemill/platform/names.py
@@ -23,6 +23,9 @@
 EXPECTED_INSTANCE = b"primrosemill-expect-instance"
 NOT_RUN = b"primrosemill-not-executed"
 LOAD = b"primrosemill-instance-load"
+# In any answer of an instance that is leaving.
+LEAVING_SIGN = b"server-leaving"
+LEAVING_VALUE = b"1"
 
 # The word of an instance entry for an instance that is leaving.
 LEAVING = "draining"
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -133,6 +133,10 @@
         """Count and log a fault of the proxy that ended a request."""
         self._reports.note_failure(error)
 
+    def close_idle(self, instance: documents.Instance) -> None:
+        """Close the idle connections to an instance that is leaving."""
+        self._connections.close_idle(instance)
+
     def close(self) -> None:
         """Close all idle connections to instances."""
         self._connections.close_all()
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -94,6 +94,7 @@
         self.maybe_ran = False
         self.draining = False
         self.load: balance.Load | None = None
+        self.pause: dialects.Pause | None = None
         self._idle_time: float | None = None
 
     async def close(self) -> None:
@@ -101,7 +102,7 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        if self._whole:
+        if self._whole and not self.draining:
             self._pool.put_back(self._instance, connection, self._idle_time)
             return
         connection.stream.close()
@@ -162,15 +163,17 @@
         first_byte = trio.current_time()
         self._response = response
         self._pieces = aiter(response.stream)
-        state = headers.find(response.headers, headers.INSTANCE_STATE)
-        self.draining = state == headers.DRAINING
+        dialect = self._outgoing.dialect
+        not_run = dialect.read_not_run(response.status, response.headers)
+        if not_run is not outcomes.NotRunReason.OTHER_INSTANCE:
+            # Another instance at the address speaks for itself only.
+            self.draining = dialect.tells_leaving(response.headers)
+            self.pause = dialect.read_pause(response.status, response.headers)
         if not self._is_own(response):
             return outcomes.Unknown(outcomes.UnknownReason.FOREIGN_ANSWER)
-        dialect = self._outgoing.dialect
         self.load = dialect.read_load(response.headers)
         self._idle_time = headers.parse_idle_time(response.headers)
         ending = await self._hold(response, first_byte)
-        not_run = dialect.read_not_run(response.status, response.headers)
         if not_run is not None:
             return outcomes.NotRun(not_run)
         if dialect.plain_answers and headers.is_encoded(response.headers):
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -21,6 +21,7 @@
 from primrosemill.decisions import standings
 from primrosemill.decisions import waiting_line
 from primrosemill.proxy import alarm as alarms
+from primrosemill.proxy import headers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import waiters
 from primrosemill.telemetry import events
@@ -47,6 +48,11 @@
 }
 
 
+# Sources of the news that an instance is leaving.
+OWN_WORD = "answer"
+PEER = "peer"
+
+
 class Judgement(typing.NamedTuple):
     """What an attempt said of its instance.
 
@@ -69,7 +75,40 @@
     shared: bool = False
 
 
+class Departure(typing.NamedTuple):
+    """An instance is leaving by its own word, told here or to a peer."""
+
+    service: str
+    instance: documents.Instance
+    source: str
+    request_id: str = ""
+
+
+class Pause(typing.NamedTuple):
+    """An instance wants no request for some seconds.
+
+    ``fault`` tells why its wish can't be used as it is.
+    """
+
+    service: str
+    instance_id: str
+    boot: int
+    seconds: float
+    request_id: str
+    fault: headers.BadPause | None = None
+
+
 OnChange = typing.Callable[[Changed], None]
+OnDeparture = typing.Callable[[Departure], None]
+OnPause = typing.Callable[[Pause], None]
+
+
+class Listeners(typing.NamedTuple):
+    """Who is told of what this VM learns of instances."""
+
+    on_change: OnChange
+    on_departure: OnDeparture
+    on_pause: OnPause
 
 
 class Balancer:
@@ -192,13 +231,13 @@
         self,
         domain: str,
         generator: random.Random,
-        on_change: OnChange,
+        listeners: Listeners,
         floor_share: float = balance.FLOOR_SHARE,
     ) -> None:
         self._domain = domain
         self._floor_share = floor_share
         self._generator = generator
-        self._on_change = on_change
+        self._listeners = listeners
         self._balancers_by_service: dict[str, Balancer] = {}
 
     def make(
@@ -231,7 +270,34 @@
             instance_id, seconds, trio.current_time()
         )
         if verdict is not None:
-            self._on_change(Changed(service, instance.boot, verdict, "peer"))
+            self._listeners.on_change(
+                Changed(service, instance.boot, verdict, PEER)
+            )
+
+    def take_departure(
+        self, service: str, instance_id: str, boot: int
+    ) -> None:
+        """Take the word of a peer that an instance says it is leaving."""
+        self._note_leaving(service, instance_id, boot, PEER)
+
+    def _note_leaving(
+        self,
+        service: str,
+        instance_id: str,
+        boot: int,
+        source: str,
+        request_id: str = "",
+    ) -> None:
+        balancer = self._balancers_by_service.get(service)
+        if balancer is None:
+            return
+        if not balancer.balance.note_leaving(instance_id, boot):
+            return
+        instance = balancer.balance.instance(instance_id)
+        self._listeners.on_departure(
+            Departure(service, instance, source, request_id)
+        )
+        balancer.wake()
 
     def usual_time(self, service: str, route: str) -> float | None:
         """Return how long answers to a route take; None while unknown."""
@@ -301,13 +367,14 @@
             return
         if end.load is not None:
             balancer.balance.note_load(instance.id, end.load, now)
+        self._take_announcements(balancer, end, now)
         judged = judge(end.outcome, end)
         if judged.failed is None:
             return
         verdict = self._weigh(balancer, end, judged, now)
         if verdict is not None:
             cause = _cause(end.outcome)
-            self._on_change(
+            self._listeners.on_change(
                 Changed(
                     start.service,
                     start.boot,
@@ -319,6 +386,37 @@
             )
         balancer.wake()
 
+    def _take_announcements(
+        self, balancer: Balancer, end: plugs.AttemptEnd, now: float
+    ) -> None:
+        """Believe what the instance said of itself with its answer."""
+        start = end.start
+        if end.draining:
+            self._note_leaving(
+                start.service,
+                start.instance_id,
+                start.boot,
+                OWN_WORD,
+                start.request_id,
+            )
+        if end.pause is None:
+            return
+        fault = end.pause.error if end.pause.is_error() else None
+        seconds = end.pause.ok if fault is None else fault.seconds
+        balancer.balance.note_pause(
+            start.instance_id, start.boot, seconds, now
+        )
+        self._listeners.on_pause(
+            Pause(
+                start.service,
+                start.instance_id,
+                start.boot,
+                seconds,
+                start.request_id,
+                fault,
+            )
+        )
+
     def _weigh(
         self,
         balancer: Balancer,
--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -136,6 +136,11 @@
             if not idle:
                 del self._idle_by_address[address]
 
+    def close_idle(self, instance: documents.Instance) -> None:
+        """Close the idle connections to an instance that is leaving."""
+        for each in self._idle_by_address.pop(_address(instance), ()):
+            each.connection.stream.close()
+
     def close_all(self) -> None:
         """Close every idle connection."""
         for idle in self._idle_by_address.values():
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -23,6 +23,15 @@
     CALLER_GONE = "caller_gone"
 
 
+class Announcement(enum.StrEnum):
+    """What an instance said of itself, and to whom."""
+
+    LEAVING = "leaving"
+    LEAVING_TOLD_BY_PEER = "leaving_told_by_peer"
+    PAUSE = "pause"
+    DAMAGED_PAUSE = "damaged_pause"
+
+
 class Counters:
     """Holds the metrics of the HTTP path."""
 
@@ -65,6 +74,14 @@
             outcomes.UnknownReason,
             self.registry,
         )
+        self.announcements = metrics.ReasonCounter(
+            "instance_announcements",
+            "What instances said of themselves: that they leave, or want no "
+            "request for a time.",
+            "kind",
+            Announcement,
+            self.registry,
+        )
         self.failures = metrics.counter(
             "request_failures",
             "Requests ended by a fault of the proxy itself.",
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -6,6 +6,8 @@
 
 import typing
 
+import expression
+
 from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
@@ -29,6 +31,9 @@
 }
 
 ReadLoad = typing.Callable[[asgi.Headers], balance.Load | None]
+Pause = expression.Result[float, headers.BadPause]
+ReadPause = typing.Callable[[int, asgi.Headers], Pause | None]
+TellsLeaving = typing.Callable[[asgi.Headers], bool]
 ReadNotRun = typing.Callable[[int, asgi.Headers], outcomes.NotRunReason | None]
 
 
@@ -36,6 +41,19 @@
     return None
 
 
+def tells_leaving(lines: asgi.Headers) -> bool:
+    """Tell whether an answer says that its instance is leaving."""
+    return headers.find(lines, headers.INSTANCE_STATE) == headers.DRAINING
+
+
+def read_pause(status: int, lines: asgi.Headers) -> Pause | None:
+    """Return the pause that an instance asks for; None where it does not."""
+    if status != STATUS_UNAVAILABLE:
+        return None
+    value = headers.find(lines, headers.RETRY_AFTER)
+    return None if value is None else headers.parse_pause(value)
+
+
 def _shed_by_header(
     status: int, lines: asgi.Headers
 ) -> outcomes.NotRunReason | None:
@@ -67,6 +85,8 @@
     format_timeout: typing.Callable[[float], bytes] = headers.format_timeout
     read_not_run: ReadNotRun = _shed_by_header
     read_load: ReadLoad = _no_load
+    tells_leaving: TellsLeaving = tells_leaving
+    read_pause: ReadPause = read_pause
     request_id: bytes | None = None
     expected_instance: bytes | None = None
     status_by_refusal: dict[outcomes.RefusalReason, int] = STATUS_BY_REFUSAL
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -2,6 +2,7 @@
 
 import http
 import random
+import typing
 
 import prometheus_client
 import trio
@@ -42,7 +43,16 @@
 # A VM that is no entry point takes this fraction of an entry point's part:
 # only callers with old answers come to it.
 OTHERS_PART = 4
-SUSPICIONS_WAITING = 64  # that were not sent yet; later ones are dropped
+NEWS_WAITING = 64  # messages that were not sent yet; later ones are dropped
+
+
+class News(typing.NamedTuple):
+    """A message on an instance, and the failure domains that it concerns."""
+
+    message: messages.Suspicion | messages.Departure
+    domains: frozenset[str]
+
+
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
@@ -62,7 +72,9 @@
         self._balancers = balancing.Balancers(
             settings.domain,
             generator,
-            self._note_trust,
+            balancing.Listeners(
+                self._note_trust, self._note_departure, self._note_pause
+            ),
             settings.floor_share,
         )
         self._retries = budgets.BudgetedRetries(
@@ -90,7 +102,9 @@
             _ignore_document,
             counts.peers,
             generator,
-            feed_hooks=peers.FeedHooks(self._note_change, self._hear),
+            feed_hooks=peers.FeedHooks(
+                self._note_change, self._hear, self._hear_departure
+            ),
         )
         self._document = documents.empty_document(settings.fleet)
         self._view = entry_points.View((), 0)
@@ -104,9 +118,10 @@
             self.peers.node.announce_gone,
             self._scope,
         )
-        self._send_suspicions, self._suspicions = trio.open_memory_channel[
-            messages.Suspicion
-        ](SUSPICIONS_WAITING)
+        self._counts = counts
+        self._send_news, self._news = trio.open_memory_channel[News](
+            NEWS_WAITING
+        )
 
     async def run(self) -> None:
         """Serve until stopped; callers once there are routes."""
@@ -123,7 +138,7 @@
                 await _listen(nursery, self._callers, settings.caller_address)
                 nursery.start_soon(self._application.keep_time)
                 nursery.start_soon(self._keep_view)
-                nursery.start_soon(self._tell_suspicions)
+                nursery.start_soon(self._tell_news)
                 await self.peers.node.announce_serving()
                 collector.settle()
                 self._announce()
@@ -295,6 +310,49 @@
                 suspicion.seconds,
             )
 
+    def _hear_departure(self, departure: messages.Departure) -> None:
+        """Take what an instance said of itself to a peer."""
+        self._balancers.take_departure(*departure)
+
+    def _note_departure(self, departure: balancing.Departure) -> None:
+        """Leave an instance alone that is leaving, and say so."""
+        service, instance, source, request_id = departure
+        self._application.close_idle(instance)
+        events.emit(
+            events.INSTANCE_LEAVING,
+            service=service,
+            instance_id=instance.id,
+            boot=instance.boot,
+            source=source,
+            request_id=request_id,
+        )
+        told = source == balancing.OWN_WORD
+        kind = counters.Announcement.LEAVING_TOLD_BY_PEER
+        if told:
+            kind = counters.Announcement.LEAVING
+            self._tell(
+                News(
+                    messages.Departure(service, instance.id, instance.boot),
+                    frozenset({self._own.domain, instance.domain}),
+                )
+            )
+        self._counts.announcements.count(kind)
+
+    def _note_pause(self, pause: balancing.Pause) -> None:
+        kind = counters.Announcement.PAUSE
+        if pause.fault is not None:
+            kind = counters.Announcement.DAMAGED_PAUSE
+        self._counts.announcements.count(kind)
+        events.emit(
+            events.INSTANCE_PAUSED,
+            service=pause.service,
+            instance_id=pause.instance_id,
+            boot=pause.boot,
+            seconds=pause.seconds,
+            request_id=pause.request_id,
+            fault=repr(pause.fault) if pause.fault is not None else "",
+        )
+
     def _note_trust(self, changed: balancing.Changed) -> None:
         verdict = changed.verdict
         events.emit(
@@ -315,18 +373,22 @@
             changed.boot,
             verdict.seconds,
         )
+        self._tell(News(suspicion, frozenset({self._own.domain})))
+
+    def _tell(self, news: News) -> None:
         try:
-            self._send_suspicions.send_nowait(suspicion)
+            self._send_news.send_nowait(news)
         except trio.WouldBlock:
             events.emit(
-                events.SUSPICION_DROPPED,
-                service=changed.service,
-                instance_id=verdict.instance_id,
+                events.NEWS_DROPPED,
+                message=type(news.message).__name__.lower(),
+                service=news.message.service,
+                instance_id=news.message.instance_id,
             )
 
-    async def _tell_suspicions(self) -> None:
-        async for suspicion in self._suspicions:
-            await self.peers.node.tell_suspicion(suspicion)
+    async def _tell_news(self) -> None:
+        async for news in self._news:
+            await self.peers.node.tell_domains(news.message, news.domains)
 
     async def _keep_view(self) -> None:
         while True:
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -115,7 +115,9 @@
     def _end(self) -> plugs.AttemptEnd:
         late = trio.current_time() >= self._context.outgoing.deadline
         return self._typed_end()._replace(
-            load=self.attempt.load, timed_out=late and self.ending is None
+            load=self.attempt.load,
+            timed_out=late and self.ending is None,
+            pause=self.attempt.pause,
         )
 
     def _typed_end(self) -> plugs.AttemptEnd:
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -1,6 +1,9 @@
 """Names the headers of the caller interface and forwards all others."""
 
 import math
+import typing
+
+import expression
 
 from primrosemill.proxy import asgi
 
@@ -26,6 +29,23 @@
 OUTCOME_NOT_RUN = (OUTCOME, b"not-run")
 OUTCOME_UNKNOWN = (OUTCOME, b"unknown")
 
+# A longer pause than this counts as this long: no instance is trusted to
+# take itself out for the rest of a VM's life.
+LONGEST_PAUSE = 300.0  # seconds
+LONGEST_SHOWN = 40  # bytes of a damaged value that a fault shows
+
+
+class BadPause(typing.NamedTuple):
+    """An instance asked for a pause in a form that can't be used.
+
+    ``seconds`` is what is done in its place; 0 stands for no pause.
+    """
+
+    value: str
+    detail: str
+    seconds: float = 0.0
+
+
 HOP_NAMES = frozenset(
     {
         CONNECTION,
@@ -101,6 +121,20 @@
     return min(seconds, ceiling)
 
 
+def parse_pause(value: bytes) -> expression.Result[float, BadPause]:
+    """Return the seconds after which a peer wants the next request."""
+    shown = value[:LONGEST_SHOWN].decode("latin-1")
+    try:
+        seconds = float(value)
+    except ValueError:
+        return expression.Error(BadPause(shown, "no number of seconds"))
+    if not math.isfinite(seconds) or seconds < 0:
+        return expression.Error(BadPause(shown, "no span of time"))
+    if seconds > LONGEST_PAUSE:
+        return expression.Error(BadPause(shown, "too long", LONGEST_PAUSE))
+    return expression.Ok(seconds)
+
+
 def format_timeout(seconds: float) -> bytes:
     """Return the time left as a header value."""
     return f"{max(seconds, 0.0):.3f}".encode()
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -25,10 +25,11 @@
 
 
 class FeedHooks(typing.NamedTuple):
-    """What is told of changes in the feed and of peers' suspicions."""
+    """What is told of changes in the feed and of what peers met."""
 
     on_change: feed_follower.ChangeHandler
     on_suspicion: node.SuspicionHandler
+    on_departure: node.DepartureHandler
 
 
 class Peers:
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -7,8 +7,11 @@
 import enum
 import typing
 
+import expression
+
 from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
+from primrosemill.proxy import headers
 
 RETRY_PAUSE = 0.005  # seconds
 LONGEST_PAUSE = 0.1  # seconds
@@ -49,7 +52,8 @@
     ``first_byte`` is None unless the instance began an answer, ``draining``
     tells that the answer said the instance is leaving, ``abandoned`` that
     the proxy itself gave the attempt up (caller gone, hedge lost or
-    deadline), ``timed_out`` that this was at the deadline.
+    deadline), ``timed_out`` that this was at the deadline. ``pause`` is the
+    time for which the instance wants no request, or why it can't be read.
     """
 
     start: AttemptStart
@@ -60,6 +64,7 @@
     abandoned: bool = False
     load: balance.Load | None = None
     timed_out: bool = False
+    pause: expression.Result[float, headers.BadPause] | None = None
 
 
 class Observer(typing.Protocol):
--- a/packages/standins/src/primrosemill/standins/users_instance.py
+++ b/packages/standins/src/primrosemill/standins/users_instance.py
@@ -69,6 +69,10 @@
         self.id = instance_id
         self.pause = pause
         self.manner = Manner.WELL
+        # It says so in all its answers.
+        self.leaving = False
+        # The value that it adds to a refusal; None for none.
+        self.retry_after: bytes | None = None
         self.next_manners: collections.deque[Manner] = collections.deque()
         self.runs: list[Run] = []
         self.turned_away: list[Run] = []
@@ -113,7 +117,8 @@
             line = (b"primrosemill-instance-id", self.id.encode())
             if status == 503:
                 line = (b"primrosemill-not-executed", b"1")
-            await _send(stream, connection, status, [line], b"")
+            lines = [line, *self._announcements(status)]
+            await _send(stream, connection, status, lines, b"")
             return True
         self.runs.append(run)
         if not await self._work(stream, manner):
@@ -122,6 +127,15 @@
         await self._send_answer(stream, connection, run, manner)
         return manner not in ENDS_CONNECTION and manner is not Manner.EARLY
 
+    def _announcements(self, status: int) -> list[asgi.Header]:
+        """Return what it says of itself beside an answer."""
+        lines = []
+        if self.leaving:
+            lines.append((b"server-leaving", b"1"))
+        if status == 503 and self.retry_after is not None:
+            lines.append((b"retry-after", self.retry_after))
+        return lines
+
     async def _work(self, stream: trio.SocketStream, manner: Manner) -> bool:
         """Spend the pause; False if the caller left meanwhile."""
         pause = float("inf") if manner is Manner.HANG else self.pause
@@ -155,6 +169,7 @@
             (b"primrosemill-request-id", request_id.encode()),
             (b"primrosemill-server-signature", f"by.{self.id}".encode()),
             (b"primrosemill-instance-load", b"1,0,3"),
+            *self._announcements(200),
         ]
         if manner is Manner.ENCODED:
             lines.append((b"content-encoding", b"gzip"))
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -264,6 +264,25 @@
         *("cause", "request_id"),
     ),
 )
+INSTANCE_LEAVING = Event(
+    "PM4005",
+    "instance_leaving",
+    Level.INFO,
+    "An instance said that it is leaving, in an answer to this VM or to a "
+    "peer; nothing new is sent to this start of it.",
+    ("service", "instance_id", "boot", "source", "request_id"),
+)
+INSTANCE_PAUSED = Event(
+    "PM4006",
+    "instance_paused",
+    Level.INFO,
+    "An instance wants no request for some seconds; `fault` tells why its "
+    "wish is not taken as it stands.",
+    (
+        *("service", "instance_id", "boot", "seconds", "request_id"),
+        "fault",
+    ),
+)
 MEMBER_CHANGED = Event(
     "PM5002",
     "member_changed",
@@ -280,13 +299,13 @@
     "`others` more do.",
     ("watching", "others"),
 )
-SUSPICION_DROPPED = Event(
-    "PM5001",
-    "suspicion_dropped",
+NEWS_DROPPED = Event(
+    "PM5004",
+    "news_dropped",
     Level.WARNING,
-    "Too many suspicions wait to be sent, so the VMs of the failure domain "
-    "are not told of this one and find out for themselves.",
-    ("service", "instance_id"),
+    "Too many messages on instances wait to be sent, so other VMs are not "
+    "told of this one and find out for themselves.",
+    ("message", "service", "instance_id"),
 )
 
 CATALOGUE = (
@@ -320,7 +339,9 @@
     INSTANCE_SEEN,
     INSTANCE_GONE,
     TRUST_CHANGED,
-    SUSPICION_DROPPED,
+    INSTANCE_LEAVING,
+    INSTANCE_PAUSED,
+    NEWS_DROPPED,
     MEMBER_CHANGED,
     WATCH_CHANGED,
 )
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -108,6 +108,7 @@
     settings: entry_settings.EntrySettings
     store: users_store.StoreStandin
     instances: list[users_instance.InstanceStandin]
+    addresses: list[str]
 
 
 @contextlib.asynccontextmanager
@@ -120,8 +121,10 @@
     ]
     async with trio.open_nursery() as nursery:
         served = await nursery.start(asgi.serve, store, IP)
+        addresses = []
         for instance in instances:
             place = await nursery.start(instance.serve, IP)
+            addresses.append(place.address)
             store.put_json(f"servers/{instance.id}", entry(place.address))
         store.put_json("op/config", document or configuration())
         made = settings(served.address)
@@ -129,7 +132,7 @@
             made, adapter.make(made.feed_address), random.Random(1)
         )
         nursery.start_soon(vm.run)
-        built = Running(vm, made, store, instances)
+        built = Running(vm, made, store, instances, addresses)
         await wait_until_ready(built)
         yield built
         nursery.cancel_scope.cancel()
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -128,7 +128,9 @@
                 on_suspicion=lambda told, domain: heard.append((told, domain))
             )
             told = messages.Suspicion("reservations", "i-0", 7, 1.5)
-            await first.node.tell_suspicion(told)
+            await first.node.tell_domains(
+                told, frozenset({first.node.membership.own.domain})
+            )
             await until(lambda: heard)
             self.assertEqual([(told, "a")], heard)
 
