Keep heartbeats in their failure domain; tell suspicions to all entry points

Now a VM watches its own domain and probes one other a second elsewhere; a domain in doubt is probed more closely, a suspect may refute at once, and a VM that has just started is told of others with the answer to its ping. What an instance failed is told to the entry points of all domains, 48 VMs at most. A VM that acts late on a deadline tells nothing of the instance.

--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -10,6 +10,7 @@
 heard of for longest; then the least loaded goes.
 """
 
+import enum
 import math
 import random
 import typing
@@ -60,6 +61,14 @@
     local: bool = False
 
 
+class Crossing(enum.StrEnum):
+    """Why a request goes to an instance of another failure domain."""
+
+    NONE_LOCAL = "none_local"  # The own domain has none that is staying.
+    SUSPECT = "suspect"  # None there is trusted.
+    FULL = "full"  # Those that are trusted had no room, or were tried.
+
+
 class _Use:
     """What this VM knows and does with one instance."""
 
@@ -208,6 +217,24 @@
         best.starts.append(now)
         return best.instance
 
+    def crossing(self, instance_id: str, now: float) -> Crossing | None:
+        """Return why a request was sent to an instance of another domain.
+
+        None where it is one of the own domain.
+        """
+        chosen = self._uses_by_id.get(instance_id)
+        if chosen is None or not chosen.remote:
+            return None
+        trust_by_id = self._suspects(now)
+        found = Crossing.NONE_LOCAL
+        for each_id, use in self._uses_by_id.items():
+            if use.remote or use.leaving:
+                continue
+            if each_id not in trust_by_id:
+                return Crossing.FULL
+            found = Crossing.SUSPECT
+        return found
+
     def release(self, instance_id: str, started: float) -> None:
         """Give back a slot that was taken at about a time.
 
--- a/packages/decisions/src/primrosemill/decisions/entry_points.py
+++ b/packages/decisions/src/primrosemill/decisions/entry_points.py
@@ -19,6 +19,11 @@
 SLOTS_PER_POINT = 18.0  # slots of instances that one VM keeps busy with ease
 
 
+# VMs that are told of news on one instance: the entry points of 300 VMs fit,
+# and beyond that the cost of a message does not grow with the fleet.
+MOST_TOLD = 48
+
+
 class View(typing.NamedTuple):
     """The VMs that take callers, and the slots of all services together."""
 
@@ -43,6 +48,23 @@
     return tuple(found)
 
 
+def told_ids(view: View, own: home_vms.Vm, domain: str) -> tuple[str, ...]:
+    """Return the VMs that should hear of news on an instance in a domain.
+
+    These are the entry points of all domains, as each may use the instance,
+    and then the other VMs of the own domain. Where there are too many, the
+    entry points of the instance's domain and the own one go first.
+    """
+    domains = sorted({vm.domain for vm in view.vms})
+    domains.sort(key=lambda each: each not in (own.domain, domain))
+    found = []
+    for each in domains:
+        found += entry_points(view, each)
+    found += [vm for vm in view.vms if vm.domain == own.domain]
+    ids = dict.fromkeys(vm.id for vm in found if vm != own)
+    return tuple(ids)[:MOST_TOLD]
+
+
 def led_ids(
     own: home_vms.Vm,
     points: typing.Sequence[home_vms.Vm],
--- a/packages/fleet/src/primrosemill/fleet/members.py
+++ b/packages/fleet/src/primrosemill/fleet/members.py
@@ -157,6 +157,12 @@
         gone_ids = self.members_by_id.keys() - self.present_by_id.keys()
         return [self.members_by_id[vm_id].entry for vm_id in sorted(gone_ids)]
 
+    def domain_at(self, ip: str, port: int) -> str | None:
+        """Return the failure domain of an address; None while unknown."""
+        vm_id = self._ids_by_address.get((ip, port))
+        member = self.members_by_id.get(vm_id)
+        return None if member is None else member.entry.domain
+
     def is_present_at(self, ip: str, port: int) -> bool:
         """Tell whether a VM that is not gone has this address."""
         return self._ids_by_address.get((ip, port)) in self.present_by_id
--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -25,9 +25,21 @@
 SILENCE = 0.5
 LONGEST_SILENCE = 3.0  # seconds after which silence is believed
 HELPERS = 3
+# The VMs of a failure domain watch each other; so often one probes a VM of
+# another domain, which carries news there and notices the loss of a domain.
+# docs/design/membership.md.
+FAR_INTERVAL = 1.0  # seconds
+# So long after a VM of another domain was suspected or lost, all of its domain
+# may be: every other probe goes there, to find out who is left.
+DOUBT_TIME = 2.0  # seconds
+# With so many suspects there at once a loss is likely, and more are probed.
+LOSS_SUSPECTS = 3
+LOSS_PROBES = 3
+LEAST_NEAR = 2  # other VMs of the own domain; with fewer, all are probed alike
 # Bytes of entries in one message: the rest of a datagram holds the envelope,
 # the sender's entry and the one that the target should refute.
 ENTRIES_SIZE = 1_150
+NEW_TIME = 1.0  # seconds in which a VM that started is told of others
 JOIN_PEERS = 4  # addresses that a VM which knows nobody pings at once
 
 
@@ -86,8 +98,13 @@
         self._nonce = generator.getrandbits(32)
         self._probes_by_nonce: dict[int, _Probe] = {}
         self._relays_by_nonce: dict[int, _Relay] = {}
-        self._round: list[str] = []
+        self._near_round: list[str] = []
+        self._far_round: list[str] = []
         self._next_probe = now
+        self._next_far_probe = now
+        self._looks_far = False
+        self._new_until_by_id: dict[str, float] = {}
+        self._doubted_until_by_domain: dict[str, float] = {}
         self._next_rejoin = now
         self._last_tick = now
         self._last_heard = now
@@ -184,8 +201,15 @@
             if entry.vm_id == self.own.vm_id:
                 self._defend(entry)
                 continue
+            known = self.table.members_by_id.get(entry.vm_id)
             if self.table.merge(entry, now):
                 news.append(entry)
+                if known is None or (
+                    known.entry.incarnation < entry.incarnation
+                ):
+                    self._new_until_by_id[entry.vm_id] = now + NEW_TIME
+                if entry.liveness is not messages.Liveness.LIVE:
+                    self._doubt_domain(entry, now)
         return news
 
     def tick(self, now: float) -> list[Outgoing]:
@@ -200,9 +224,16 @@
         if now >= self._next_rejoin:
             self._next_rejoin = now + REJOIN_INTERVAL
             self.table.forget_old(now)
+            self._forget_new(now)
             self._ping_absent(outgoing)
         return outgoing
 
+    def _forget_new(self, now: float) -> None:
+        """Forget who started a while ago."""
+        for vm_id, until in list(self._new_until_by_id.items()):
+            if until <= now:
+                del self._new_until_by_id[vm_id]
+
     def receive(self, message: messages.Message, now: float) -> list[Outgoing]:
         """Handle one message of the membership kinds."""
         self._last_heard = now
@@ -224,6 +255,8 @@
         self.merge((ping.sender, *ping.entries), now)
         self._drop_probes_of(ping.sender)
         changes = self._take_changes()
+        if now < self._new_until_by_id.get(ping.sender.vm_id, now):
+            changes = self._introduce(changes)
         doubted = self.table.members_by_id.get(ping.sender.vm_id)
         if doubted is not None and doubted.entry != ping.sender:
             # The sender is held suspect or gone; it can refute that now.
@@ -231,6 +264,27 @@
         ack = messages.Ack(ping.nonce, self.own, self.version, changes)
         return [Outgoing(ping.sender.ip, ping.sender.port, ack)]
 
+    def _introduce(
+        self, changes: tuple[messages.Entry, ...]
+    ) -> tuple[messages.Entry, ...]:
+        """Add VMs for a sender that has just started, as many as fit."""
+        named = {entry.vm_id for entry in changes}
+        others = [
+            entry
+            for vm_id, entry in self.table.present_by_id.items()
+            if vm_id not in named
+        ]
+        self._generator.shuffle(others)
+        room = ENTRIES_SIZE - 3 * dissemination.entry_size(self.own)
+        room -= sum(dissemination.entry_size(entry) for entry in changes)
+        found = list(changes)
+        for entry in others:
+            room -= dissemination.entry_size(entry)
+            if room < 0 or len(found) == dissemination.ENTRIES_PER_MESSAGE:
+                break
+            found.append(entry)
+        return tuple(found)
+
     def _drop_probes_of(self, sender: messages.Entry) -> None:
         """Take a VM's own message for the answer to a probe of it."""
         for nonce, probe in list(self._probes_by_nonce.items()):
@@ -318,22 +372,31 @@
             waited = now - probe.sent
             if waited >= PROBE_TIMEOUT:
                 del self._probes_by_nonce[nonce]
-                self._suspect(probe.target, now)
+                self._suspect(probe.target, now, outgoing)
             elif waited >= DIRECT_TIMEOUT and not probe.helped:
                 self._probes_by_nonce[nonce] = probe._replace(helped=True)
+                self._doubt_domain(probe.target, now)
                 outgoing.append(self._ping(probe.target, nonce))
                 self._ask_helpers(nonce, probe.target, outgoing)
         for nonce, relay in list(self._relays_by_nonce.items()):
             if now - relay.sent >= PROBE_TIMEOUT:
                 del self._relays_by_nonce[nonce]
 
-    def _suspect(self, target: messages.Entry, now: float) -> None:
+    def _suspect(
+        self, target: messages.Entry, now: float, outgoing: list[Outgoing]
+    ) -> None:
         if self._doubts_itself(now):
             return
         member = self.table.members_by_id.get(target.vm_id)
         if member is None or member.entry.incarnation != target.incarnation:
             return
-        self._pass_on(self.table.mark_suspect(target.vm_id, now))
+        suspect = self.table.mark_suspect(target.vm_id, now)
+        if suspect is None:
+            return
+        self._doubt_domain(suspect, now)
+        self._pass_on(suspect)
+        # It may refute that at once, before others hear of it.
+        outgoing.append(self._ping(suspect, self._new_nonce()))
 
     def _pass_on(self, entry: messages.Entry | None) -> None:
         if entry is not None:
@@ -342,31 +405,120 @@
     def _ask_helpers(
         self, nonce: int, target: messages.Entry, outgoing: list[Outgoing]
     ) -> None:
-        candidates = [
-            entry
-            for vm_id, entry in self.table.present_by_id.items()
-            if vm_id != target.vm_id and vm_id not in self.table.suspect_ids
-        ]
-        count = min(HELPERS, len(candidates))
         request = messages.ProbeRequest(nonce, target, self.own)
-        for helper in self._generator.sample(candidates, count):
+        for helper in self._choose_helpers(target):
             outgoing.append(Outgoing(helper.ip, helper.port, request))
 
-    def _probe_next(self, now: float, outgoing: list[Outgoing]) -> None:
-        """Probe every VM once in a round, in a new order each round."""
-        while True:
-            if not self._round:
-                self._round = list(self.table.present_by_id)
-                self._generator.shuffle(self._round)
-                if not self._round:
-                    return
-            member = self.table.members_by_id.get(self._round.pop())
-            if member is None or member.state is members.State.GONE:
+    def _choose_helpers(self, target: messages.Entry) -> list[messages.Entry]:
+        """Choose VMs near the target, and one elsewhere to try that path."""
+        near, far = [], []
+        for vm_id, entry in self.table.present_by_id.items():
+            if vm_id == target.vm_id or vm_id in self.table.suspect_ids:
                 continue
-            nonce = self._new_nonce()
-            self._probes_by_nonce[nonce] = _Probe(member.entry, now, False)
-            outgoing.append(self._ping(member.entry, nonce))
-            return
+            group = near if entry.domain == target.domain else far
+            group.append(entry)
+        far_count = min(len(far), max(1, HELPERS - len(near)))
+        near_count = min(len(near), HELPERS - far_count)
+        return [
+            *self._generator.sample(near, near_count),
+            *self._generator.sample(far, far_count),
+        ]
+
+    def _probe_next(self, now: float, outgoing: list[Outgoing]) -> None:
+        """Probe a VM of the own failure domain, or now and then another."""
+        entry = None
+        # Every other probe stays near: where all VMs asked only the dead,
+        # nobody would hear anything and each would doubt itself.
+        self._looks_far = not self._looks_far
+        if self._looks_far:
+            doubted = self._choose_doubted(now)
+            for each in doubted[1:]:
+                self._probe(each, now, outgoing)
+            entry = doubted[0] if doubted else None
+        if entry is None and now >= self._next_far_probe:
+            self._next_far_probe = now + FAR_INTERVAL
+            entry = self._next_of_round(self._far_round, self._far_ids)
+        if entry is None:
+            entry = self._next_of_round(self._near_round, self._near_ids)
+        if entry is not None:
+            self._probe(entry, now, outgoing)
+
+    def _probe(
+        self, entry: messages.Entry, now: float, outgoing: list[Outgoing]
+    ) -> None:
+        nonce = self._new_nonce()
+        self._probes_by_nonce[nonce] = _Probe(entry, now, False)
+        outgoing.append(self._ping(entry, nonce))
+
+    def _doubt_domain(self, entry: messages.Entry, now: float) -> None:
+        """Note that a VM of another domain does not answer."""
+        if entry.domain != self.own.domain:
+            until = now + DOUBT_TIME
+            self._doubted_until_by_domain[entry.domain] = until
+
+    def _choose_doubted(self, now: float) -> list[messages.Entry]:
+        """Choose VMs of other domains that may be lost as a whole."""
+        doubted = {
+            domain
+            for domain, until in self._doubted_until_by_domain.items()
+            if now < until
+        }
+        if not doubted:
+            return []
+        probed = {
+            probe.target.vm_id for probe in self._probes_by_nonce.values()
+        }
+        unknown = [
+            entry
+            for vm_id, entry in self.table.present_by_id.items()
+            if entry.domain in doubted
+            and vm_id not in self.table.suspect_ids
+            and vm_id not in probed
+        ]
+        suspects = sum(
+            self.table.members_by_id[vm_id].entry.domain in doubted
+            for vm_id in self.table.suspect_ids
+        )
+        count = LOSS_PROBES if suspects >= LOSS_SUSPECTS else 1
+        return self._generator.sample(unknown, min(count, len(unknown)))
+
+    def _next_of_round(
+        self, left: list[str], find_ids: typing.Callable[[], list[str]]
+    ) -> messages.Entry | None:
+        """Return the next VM of a round; each has a new random order."""
+        for _ in range(2):
+            while left:
+                entry = self.table.present_by_id.get(left.pop())
+                if entry is not None:
+                    return entry
+            left += find_ids()
+            self._generator.shuffle(left)
+        return None
+
+    def _near_ids(self) -> list[str]:
+        """Return the VMs that this one watches most closely."""
+        near = self._near_entries()
+        if len(near) < LEAST_NEAR:
+            return list(self.table.present_by_id)
+        return [entry.vm_id for entry in near]
+
+    def _near_entries(self) -> list[messages.Entry]:
+        """Return the other VMs of the own failure domain."""
+        return [
+            entry
+            for entry in self.table.present_by_id.values()
+            if entry.domain == self.own.domain
+        ]
+
+    def _far_ids(self) -> list[str]:
+        """Return the VMs that are not watched closely."""
+        if len(self._near_entries()) < LEAST_NEAR:
+            return []
+        return [
+            vm_id
+            for vm_id, entry in self.table.present_by_id.items()
+            if entry.domain != self.own.domain
+        ]
 
     def _ping_absent(self, outgoing: list[Outgoing]) -> None:
         """Ping one address that should answer but is not in the view.
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -36,8 +36,8 @@
 ReportHandler = typing.Callable[[evidence.Report, float], None]
 
 
-# Gets what a peer suspects, and the peer's failure domain.
-SuspicionHandler = typing.Callable[[messages.Suspicion, str], None]
+# Gets what a peer suspects.
+SuspicionHandler = typing.Callable[[messages.Suspicion], None]
 # Gets what an instance said of itself to a peer.
 DepartureHandler = typing.Callable[[messages.Departure], None]
 
@@ -50,7 +50,7 @@
     pass
 
 
-def _ignore_suspicion(suspicion: messages.Suspicion, domain: str) -> None:
+def _ignore_suspicion(suspicion: messages.Suspicion) -> None:
     pass
 
 
@@ -140,6 +140,7 @@
         self._link = self._link_type(
             identity.ip, self._sealer, opener, self._observe_refusal
         )
+        self._link.on_transfer = self._observe_transfer
         await self._link.bind(identity.port)
         try:
             self._start_objects()
@@ -270,6 +271,18 @@
         for each in outgoing:
             await self._link.send(each.ip, each.port, each.message)
 
+    def _observe_transfer(
+        self, ip: str, port: int, message: messages.Message, size: int
+    ) -> None:
+        domain = self.membership.table.domain_at(ip, port)
+        self._hooks.observe(
+            observations.Transferred(
+                messages.KINDS_BY_TYPE[type(message)],
+                size,
+                domain != self._identity.domain,
+            )
+        )
+
     async def _handle(self, received: wire.Received) -> None:
         message = received.message
         if isinstance(message, messages.EvidenceBatch):
@@ -280,7 +293,7 @@
                 self.follower.take_changes(received.sender_id, message)
             return
         if isinstance(message, messages.Suspicion):
-            self._take_suspicion(received.sender_id, message)
+            self._hooks.on_suspicion(message)
             return
         if isinstance(message, messages.Departure):
             self._hooks.on_departure(message)
@@ -290,19 +303,14 @@
             self.follower.hear(received.sender_id, message.version)
         await self._send_all(outgoing)
 
-    def _take_suspicion(
-        self, sender_id: str, suspicion: messages.Suspicion
-    ) -> None:
-        member = self.membership.table.members_by_id.get(sender_id)
-        if member is not None:
-            self._hooks.on_suspicion(suspicion, member.entry.domain)
-
-    async def tell_domains(
-        self, message: messages.Message, domains: frozenset[str]
+    async def tell(
+        self, message: messages.Message, vm_ids: typing.Iterable[str]
     ) -> None:
-        """Send a message to the VMs of some failure domains."""
-        for entry in list(self.membership.table.present_by_id.values()):
-            if entry.domain in domains:
+        """Send a message to some VMs; those that are gone are left out."""
+        present_by_id = self.membership.table.present_by_id
+        for vm_id in vm_ids:
+            entry = present_by_id.get(vm_id)
+            if entry is not None:
                 await self._link.send(entry.ip, entry.port, message)
 
     def set_first_peers(self, peers: tuple[membership.Peer, ...]) -> None:
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -5,6 +5,7 @@
 from primrosemill.configuration import faults
 from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import feed
+from primrosemill.fleet import messages
 from primrosemill.fleet import spread
 from primrosemill.fleet import wire
 
@@ -15,6 +16,18 @@
     reason: wire.RefusalReason
 
 
+class Transferred(typing.NamedTuple):
+    """A datagram went to a VM, or a value was pulled from it.
+
+    It ``crosses`` if the VM is in another failure domain or an unknown one;
+    the size is in bytes.
+    """
+
+    kind: messages.Kind
+    size: int
+    crosses: bool
+
+
 class EvidenceRejected(typing.NamedTuple):
     """A report of a peer was given no weight."""
 
@@ -91,6 +104,7 @@
 
 Observation = (
     MessageRefused
+    | Transferred
     | EvidenceRejected
     | VersionAccepted
     | VersionRefused
--- a/packages/fleet/src/primrosemill/fleet/transport.py
+++ b/packages/fleet/src/primrosemill/fleet/transport.py
@@ -25,8 +25,21 @@
 DatagramHandler = typing.Callable[[wire.Received], typing.Awaitable[None]]
 
 
+# Gets the address of a peer, a message and its size in bytes.
+TransferObserver = typing.Callable[[str, int, messages.Message, int], None]
+
+
+def _ignore_transfer(
+    ip: str, port: int, message: messages.Message, size: int
+) -> None:
+    pass
+
+
 class Transport:
-    """The sockets of one VM towards its peers, on one port number."""
+    """The sockets of one VM towards its peers, on one port number.
+
+    ``on_transfer`` is told of each datagram sent and each value pulled.
+    """
 
     def __init__(
         self,
@@ -36,6 +49,7 @@
         observe_refusal: RefusalObserver,
     ) -> None:
         self.port = 0
+        self.on_transfer: TransferObserver = _ignore_transfer
         self._ip = ip
         self._sealer = sealer
         self._opener = opener
@@ -53,7 +67,7 @@
             self.port = self._datagrams.getsockname()[1]
             try:
                 self._replies = pynng.Rep0(
-                    listen=self._url(self._ip, self.port),
+                    listen=self.url(self._ip, self.port),
                     recv_max_size=wire.STREAM_SIZE_LIMIT,
                 )
                 return
@@ -74,12 +88,12 @@
         self, ip: str, port: int, message: messages.Message
     ) -> None:
         """Send a datagram; one that can not be sent counts as lost."""
+        data = self._sealer.seal(message)
         try:
-            await self._datagrams.sendto(
-                self._sealer.seal(message), (ip, port)
-            )
+            await self._datagrams.sendto(data, (ip, port))
         except OSError:
             return
+        self.on_transfer(ip, port, message, len(data))
 
     async def receive(self, handle: DatagramHandler) -> None:
         """Hand over each datagram that passes its checks, for ever."""
@@ -129,12 +143,12 @@
 
     def open_requests(self, ip: str, port: int) -> "Requests":
         """Return a context in which values are pulled from one VM."""
-        return Requests(self, self._url(ip, port))
+        return Requests(self, ip, port)
 
     async def exchange(
-        self, socket: pynng.Req0, pull: messages.Pull
+        self, socket: pynng.Req0, peer: tuple[str, int], pull: messages.Pull
     ) -> messages.PullAnswer | None:
-        """Send one pull and return its answer, or None."""
+        """Send one pull to a peer and return its answer, or None."""
         try:
             await socket.asend(self._sealer.seal(pull))
             data = await socket.arecv()
@@ -147,10 +161,12 @@
         if not isinstance(answer, messages.PullAnswer):
             self._observe_refusal(wire.RefusalReason.UNEXPECTED_KIND)
             return None
+        self.on_transfer(*peer, answer, len(data))
         return answer if answer.nonce == pull.nonce else None
 
     @staticmethod
-    def _url(ip: str, port: int) -> str:
+    def url(ip: str, port: int) -> str:
+        """Return how pynng names an address."""
         host = f"[{ip}]" if ":" in ip else ip
         return f"tcp://{host}:{port}"
 
@@ -158,9 +174,9 @@
 class Requests:
     """A connection to one VM, closed at the end of its context."""
 
-    def __init__(self, transport: Transport, url: str) -> None:
+    def __init__(self, transport: Transport, ip: str, port: int) -> None:
         self._transport = transport
-        self._url = url
+        self._peer = ip, port
         self._nonce = 0
         self._socket: pynng.Req0 | None = None
 
@@ -171,7 +187,7 @@
             send_timeout=timeout,
             recv_max_size=wire.STREAM_SIZE_LIMIT,
         )
-        self._socket.dial(self._url, block=False)
+        self._socket.dial(self._transport.url(*self._peer), block=False)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -183,7 +199,7 @@
         """Ask for values; None where no answer came in time."""
         self._nonce += 1
         pull = messages.Pull(self._nonce, wants)
-        return await self._transport.exchange(self._socket, pull)
+        return await self._transport.exchange(self._socket, self._peer, pull)
 
 
 async def _bind_datagrams(ip: str, port: int) -> trio.socket.SocketType:
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -71,6 +71,7 @@
     boot: int
     verdict: avoidance.Verdict
     cause: str
+    domain: str
     request_id: str = ""
     shared: bool = False
 
@@ -100,6 +101,7 @@
 
 OnChange = typing.Callable[[Changed], None]
 OnDeparture = typing.Callable[[Departure], None]
+OnCrossing = typing.Callable[[balance.Crossing], None]
 OnPause = typing.Callable[[Pause], None]
 
 
@@ -109,6 +111,7 @@
     on_change: OnChange
     on_departure: OnDeparture
     on_pause: OnPause
+    on_crossing: OnCrossing
 
 
 class Balancer:
@@ -271,7 +274,7 @@
         )
         if verdict is not None:
             self._listeners.on_change(
-                Changed(service, instance.boot, verdict, PEER)
+                Changed(service, instance.boot, verdict, PEER, instance.domain)
             )
 
     def take_departure(
@@ -331,6 +334,9 @@
         if balancer is None:
             return
         now = trio.current_time()
+        crossing = balancer.balance.crossing(start.instance_id, now)
+        if crossing is not None:
+            self._listeners.on_crossing(crossing)
         trust = balancer.balance.avoidance.trust(start.instance_id, now)
         events.emit(
             events.REQUEST_SENT,
@@ -380,6 +386,7 @@
                     start.boot,
                     verdict,
                     cause,
+                    instance.domain,
                     start.request_id,
                     judged.shared,
                 )
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -6,6 +6,7 @@
 
 import prometheus_client
 
+from primrosemill.decisions import balance
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import exchange
 from primrosemill.proxy import peer_counters
@@ -82,6 +83,14 @@
             Announcement,
             self.registry,
         )
+        self.crossings = metrics.ReasonCounter(
+            "crossing_attempts",
+            "Attempts at instances of other failure domains, by why none of "
+            "the own domain was chosen.",
+            "reason",
+            balance.Crossing,
+            self.registry,
+        )
         self.failures = metrics.counter(
             "request_failures",
             "Requests ended by a fault of the proxy itself.",
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -47,10 +47,10 @@
 
 
 class News(typing.NamedTuple):
-    """A message on an instance, and the failure domains that it concerns."""
+    """A message on an instance, and the failure domain of that."""
 
     message: messages.Suspicion | messages.Departure
-    domains: frozenset[str]
+    domain: str
 
 
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
@@ -73,7 +73,10 @@
             settings.domain,
             generator,
             balancing.Listeners(
-                self._note_trust, self._note_departure, self._note_pause
+                self._note_trust,
+                self._note_departure,
+                self._note_pause,
+                counts.crossings.count,
             ),
             settings.floor_share,
         )
@@ -300,15 +303,9 @@
                 source=source,
             )
 
-    def _hear(self, suspicion: messages.Suspicion, domain: str) -> None:
-        """Take the suspicion of a peer in the own failure domain."""
-        if domain == self._own.domain:
-            self._balancers.take_suspicion(
-                suspicion.service,
-                suspicion.instance_id,
-                suspicion.boot,
-                suspicion.seconds,
-            )
+    def _hear(self, suspicion: messages.Suspicion) -> None:
+        """Take the suspicion of a peer."""
+        self._balancers.take_suspicion(*suspicion)
 
     def _hear_departure(self, departure: messages.Departure) -> None:
         """Take what an instance said of itself to a peer."""
@@ -333,7 +330,7 @@
             self._tell(
                 News(
                     messages.Departure(service, instance.id, instance.boot),
-                    frozenset({self._own.domain, instance.domain}),
+                    instance.domain,
                 )
             )
         self._counts.announcements.count(kind)
@@ -373,7 +370,7 @@
             changed.boot,
             verdict.seconds,
         )
-        self._tell(News(suspicion, frozenset({self._own.domain})))
+        self._tell(News(suspicion, changed.domain))
 
     def _tell(self, news: News) -> None:
         try:
@@ -388,7 +385,8 @@
 
     async def _tell_news(self) -> None:
         async for news in self._news:
-            await self.peers.node.tell_domains(news.message, news.domains)
+            told = entry_points.told_ids(self._view, self._own, news.domain)
+            await self.peers.node.tell(news.message, told)
 
     async def _keep_view(self) -> None:
         while True:
--- a/packages/proxy/src/primrosemill/proxy/flights.py
+++ b/packages/proxy/src/primrosemill/proxy/flights.py
@@ -12,6 +12,9 @@
 from primrosemill.proxy import connections
 from primrosemill.proxy import plugs
 
+# A VM that acts on a deadline later than this was paused itself, and the
+# missing answer says nothing of the instance.
+PAUSED_FOR = 0.25  # seconds
 CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
 SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
 CANCELLED_UNSENT = outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
@@ -113,10 +116,10 @@
         return end
 
     def _end(self) -> plugs.AttemptEnd:
-        late = trio.current_time() >= self._context.outgoing.deadline
+        late_by = trio.current_time() - self._context.outgoing.deadline
         return self._typed_end()._replace(
             load=self.attempt.load,
-            timed_out=late and self.ending is None,
+            timed_out=0.0 <= late_by < PAUSED_FOR and self.ending is None,
             pause=self.attempt.pause,
         )
 
--- a/packages/proxy/src/primrosemill/proxy/peer_counters.py
+++ b/packages/proxy/src/primrosemill/proxy/peer_counters.py
@@ -1,15 +1,29 @@
 """Counts what a VM refuses and misses in its traffic with other VMs."""
 
+import enum
 import functools
 
 import prometheus_client
 
 from primrosemill.fleet import evidence_inbox
+from primrosemill.fleet import messages
 from primrosemill.fleet import observations
 from primrosemill.fleet import wire
 from primrosemill.telemetry import metrics
 
 
+class Reach(enum.StrEnum):
+    """Where a message or a request goes."""
+
+    OWN_DOMAIN = "own_domain"
+    OTHER_DOMAIN = "other_domain"
+
+
+KINDS = enum.StrEnum(
+    "KINDS", [(kind.name, kind.name.lower()) for kind in messages.Kind]
+)
+
+
 class PeerCounters:
     """Holds the metrics of the fleet's own traffic."""
 
@@ -28,6 +42,14 @@
             evidence_inbox.RejectionReason,
             registry,
         )
+        self.bytes = metrics.PairCounter(
+            "peer_bytes",
+            "Bytes of datagrams to other VMs and of values pulled from "
+            "them, by kind and by whether they leave the failure domain.",
+            ("kind", "reach"),
+            (KINDS, Reach),
+            registry,
+        )
         self.conflicts = metrics.counter(
             "version_conflicts",
             "Peers heard with other content under the version in force.",
@@ -52,6 +74,14 @@
     counters.refusals.count(observation.reason)
 
 
+@count.register
+def _count_bytes(
+    observation: observations.Transferred, counters: PeerCounters
+) -> None:
+    reach = Reach.OTHER_DOMAIN if observation.crosses else Reach.OWN_DOMAIN
+    counters.bytes.add(KINDS[observation.kind.name], reach, observation.size)
+
+
 @count.register
 def _count_rejected(
     observation: observations.EvidenceRejected, counters: PeerCounters
--- a/packages/telemetry/src/primrosemill/telemetry/metrics.py
+++ b/packages/telemetry/src/primrosemill/telemetry/metrics.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import itertools
 import typing
 
 import prometheus_client
@@ -43,6 +44,31 @@
         self._children_by_value[value].inc()
 
 
+class PairCounter:
+    """Adds up amounts by the members of two enumerations."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, str],
+        values: tuple[type[enum.StrEnum], type[enum.StrEnum]],
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        counter = prometheus_client.Counter(
+            PREFIX + name, help_text, labels, registry=registry
+        )
+        self._children_by_pair = {
+            pair: counter.labels(*pair) for pair in itertools.product(*values)
+        }
+
+    def add(
+        self, first: enum.StrEnum, second: enum.StrEnum, amount: float
+    ) -> None:
+        """Add an amount."""
+        self._children_by_pair[first, second].inc(amount)
+
+
 def counter(
     name: str, help_text: str, registry: prometheus_client.CollectorRegistry
 ) -> prometheus_client.Counter:
--- a/tests/decisions/test_entry_points.py
+++ b/tests/decisions/test_entry_points.py
@@ -69,3 +69,35 @@
         )
         found = entry_points.entry_points(entry_points.View(unequal, 60), "a")
         self.assertEqual(expected, [vm.id for vm in found])
+
+
+class ToldTest(testtools.TestCase):
+    """News on one instance reach those who may use it, and few others."""
+
+    def view(self, per_domain, domains=4, slots=144):
+        vms = tuple(
+            homes.Vm(f"vm-{domain}-{number}", f"d-{domain}")
+            for domain in range(domains)
+            for number in range(per_domain)
+        )
+        return entry_points.View(vms, slots)
+
+    def test_the_entry_points_of_all_domains_and_the_own_one_are_told(self):
+        view = self.view(12)
+        own = view.vms[0]
+        told = set(entry_points.told_ids(view, own, "d-1"))
+        expected = set()
+        for number in range(4):
+            points = entry_points.entry_points(view, f"d-{number}")
+            expected |= {vm.id for vm in points}
+        expected |= {vm.id for vm in view.vms if vm.domain == own.domain}
+        expected.remove(own.id)
+        self.assertEqual(expected, told)
+
+    def test_in_a_large_fleet_their_number_is_bounded(self):
+        view = self.view(60, domains=10, slots=30_000)
+        own = view.vms[0]
+        told = entry_points.told_ids(view, own, "d-7")
+        self.assertEqual(entry_points.MOST_TOLD, len(told))
+        domains = {vm_id.split("-")[1] for vm_id in told}
+        self.assertTrue({"0", "7"} & domains)
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -121,18 +121,16 @@
 
         run_two(check)
 
-    def test_vms_of_a_domain_hear_of_a_suspicion(self):
+    def test_vms_hear_of_a_suspicion(self):
         async def check(first, second, source, other):
             heard = []
             second.node._hooks = second.node._hooks._replace(
-                on_suspicion=lambda told, domain: heard.append((told, domain))
+                on_suspicion=heard.append
             )
             told = messages.Suspicion("reservations", "i-0", 7, 1.5)
-            await first.node.tell_domains(
-                told, frozenset({first.node.membership.own.domain})
-            )
+            await first.node.tell(told, ("vm-2", "vm-9"))
             await until(lambda: heard)
-            self.assertEqual([(told, "a")], heard)
+            self.assertEqual([told], heard)
 
         run_two(check)
 
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -193,7 +193,9 @@
         for _ in range(100):
             self.view.tick(0.1)
             self.view._take_changes()
-        ack = self.view.receive(builders.ping(1), 0.2)[0].message
+        # Later than the moment in which a new VM is told of others, too.
+        now = membership.NEW_TIME + 0.1
+        ack = self.view.receive(builders.ping(1), now)[0].message
         self.assertEqual((gone,), ack.entries)
 
     def test_a_suspicion_of_this_vm_is_refuted(self):
--- a/tests/proxy/test_metrics.py
+++ b/tests/proxy/test_metrics.py
@@ -25,7 +25,8 @@
         if sample.name.endswith("_created"):
             continue
         for label, value in sample.labels.items():
-            values_by_label.setdefault(label, []).append(value)
+            # A metric with two labels has each value once for each pair.
+            values_by_label.setdefault(label, {})[value] = None
     return ", ".join(
         f"`{label}`: {', '.join(values)}"
         for label, values in values_by_label.items()
