Take up requests that callers send behind one another

Cause: hypercorn answers the requests of a connection one by one, reads none behind a request that waits, and so misses that the caller left; and a request with Connection: close that had others behind it got 400 and never ran.

Each request has a protocol object and a turn now: idempotent ones overlap, others wait for their turn, answers keep their order, eight at most are taken up. Nothing behind a request or an answer that closes is passed on, and what still comes then is read and dropped for a second, so that no reset destroys the last answer.

--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -4,33 +4,38 @@
 a cancel scope for each send, and sends head, body and end apart. This one
 sends the head with the first piece of the body and keeps the idle time as a
 number. It also knows what the application must: that the caller left, and
-how to reset the connection.
+how to reset the connection. Requests that the caller sends ahead are taken
+up before those before them are answered; docs/design/http-path.md.
 """
 
+import collections
 import typing
 
 import hypercorn.config
 import hypercorn.events
 import hypercorn.trio.worker_context
-import hypercorn.typing
 import trio
 
 from primrosemill.proxy import asgi
-from primrosemill.proxy import callers
-from primrosemill.proxy import http1
 from primrosemill.proxy import inbox
 from primrosemill.proxy import sockets
+from primrosemill.proxy import turns
 
 RECEIVE_SIZE = 65_536  # bytes
 UPLOAD_MESSAGES = 2  # of an upload that wait for the application
-NOT_SSL = False
-OnFailure = typing.Callable[[Exception], None]
-NO_ADDRESS = None
 STATUS_TIMEOUT = 408
+MOST_TURNS = 8  # requests of one connection that are worked on at a time
+# Bytes of requests beyond those that are kept; then no more are read until
+# an answer has gone.
+READ_AHEAD = 65_536
+# After the last answer what still comes is read and dropped for this long:
+# closing with unread bytes would reset the answer away.
+LINGER_TIME = 1.0  # seconds
+OnFailure = typing.Callable[[Exception], None]
 
 
 class CallerConnection:
-    """One connection of a caller; serves its requests one by one."""
+    """One connection of a caller, with the requests that it carries."""
 
     def __init__(
         self,
@@ -42,26 +47,20 @@
         on_failure: OnFailure,
     ) -> None:
         self._handler = handler
+        self._config = config
+        self._context = context
         self._socket = sock
         self._nursery = nursery
         self._on_failure = on_failure
-        self._held = b""
-        self._holding = False
+        self._turns: collections.deque[turns.Turn] = collections.deque()
+        self._rest = b""
+        self._feeding = False
+        self._closing = False
+        self._finished = False
+        self._room = trio.lowlevel.ParkingLot()
         self.idle_since: float | None = trio.current_time()
         self._head_since: float | None = None
-        self.gone = False
-        self.on_gone: typing.Callable[[], None] | None = None
-        self._protocol = http1.Http1Protocol(
-            handler,
-            config,
-            context,
-            self,
-            hypercorn.typing.ConnectionState({callers.CONNECTION_KEY: self}),
-            NOT_SSL,
-            NO_ADDRESS,
-            NO_ADDRESS,
-            self._send,
-        )
+        self._add_turn()
 
     async def run(self) -> None:
         """Serve until either side closes."""
@@ -70,25 +69,122 @@
                 data = await self._socket.receive(RECEIVE_SIZE)
                 if not data:
                     break
-                await self._protocol.handle(hypercorn.events.RawData(data))
+                if self._finished:
+                    continue
+                self._rest += data
+                await self._feed()
                 self._note_head()
+                while len(self._rest) > READ_AHEAD and not self._finished:
+                    await self._room.park()
         except OSError:
             # The caller reset the connection, or it was closed here.
             pass
         except Exception as error:
             self._fail(error)
         finally:
-            self._tell_gone()
-            await self._protocol.handle(hypercorn.events.Closed())
-            if self.idle_since is None:
+            await self._drop_turns()
+            if self.idle_since is None and not self._finished:
                 # A request is in progress: its answer is not whole.
                 self._socket.reset()
             self._socket.end_sending()
             self._socket.close()
 
+    async def _feed(self) -> None:
+        """Take up the requests in what was read, as many as may be."""
+        if self._feeding:
+            # The task that feeds takes what was added, too.
+            return
+        self._feeding = True
+        try:
+            while self._rest and await self._feed_once():
+                pass
+        finally:
+            self._feeding = False
+
+    async def _feed_once(self) -> bool:
+        """Give what was read to a request; tell whether to go on."""
+        turn = self._turns[-1]
+        if turn.protocol.whole:
+            if turn.protocol.closes or self._is_closing():
+                self._rest = b""
+                return False
+            if len(self._turns) >= MOST_TURNS:
+                return False
+            turn = self._add_turn()
+        data, self._rest = self._rest, b""
+        await turn.protocol.handle(hypercorn.events.RawData(data))
+        self._rest = turn.protocol.take_rest() + self._rest
+        return not self._finished
+
+    def _is_closing(self) -> bool:
+        """Tell whether the request taken up last is the last at all."""
+        return self._closing or self._context.terminated.is_set()
+
+    def _add_turn(self) -> turns.Turn:
+        turn = turns.Turn(self, self._handler, self._config, self._context)
+        self._turns.append(turn)
+        if len(self._turns) == 1:
+            turn.begin()
+        return turn
+
+    def note_begin(self) -> None:
+        """Note that a request has begun."""
+        self.idle_since = None
+
+    def claim_close(self, turn: turns.Turn) -> bool:
+        """Tell whether a turn is the last; then no other is taken up."""
+        if self._turns and self._turns[-1] is not turn:
+            return False
+        self._closing = True
+        return True
+
+    def end_turn(self) -> None:
+        """Let the next turn write; where there is none, wait for requests."""
+        if self._context.terminated.is_set() and len(self._turns) == 1:
+            self.finish()
+            return
+        self._turns.popleft()
+        if self._turns:
+            self._turns[0].begin()
+        else:
+            self._add_turn()
+            self.idle_since = trio.current_time()
+        if self._rest:
+            self._nursery.start_soon(self._feed_on)
+
+    async def _feed_on(self) -> None:
+        """Take up requests that had no place before."""
+        try:
+            await self._feed()
+            self._note_head()
+        except Exception as error:
+            self._fail(error)
+        self._room.unpark_all()
+
+    def finish(self) -> None:
+        """Close behind the last answer, once the caller has read it."""
+        if self._finished:
+            return
+        self._finished = True
+        self._rest = b""
+        self._room.unpark_all()
+        self._socket.end_sending()
+        self._nursery.start_soon(self._linger)
+
+    async def _linger(self) -> None:
+        await self._drop_turns()
+        await trio.sleep(LINGER_TIME)
+        self._socket.close()
+
+    async def _drop_turns(self) -> None:
+        """Tell all requests in progress that nobody reads their answers."""
+        while self._turns:
+            await self._turns.popleft().drop()
+
     def _note_head(self) -> None:
         """Keep since when the head of a request is not whole."""
-        if self.idle_since is None or not self._protocol.has_part():
+        waits = self.idle_since is not None and self._turns
+        if not waits or not self._turns[-1].protocol.has_part():
             self._head_since = None
         elif self._head_since is None:
             self._head_since = trio.current_time()
@@ -122,10 +218,6 @@
         self._on_failure(error)
         self._socket.reset()
 
-    def hold_head(self) -> None:
-        """Keep the next bytes back until more follow them."""
-        self._holding = True
-
     def reset(self) -> None:
         """Close so that the caller can't take the answer as whole."""
         self._socket.reset()
@@ -145,35 +237,16 @@
         if self._head_since is None or self._head_since > oldest:
             return
         self._head_since = None
-        self._nursery.start_soon(self._protocol.refuse, STATUS_TIMEOUT)
+        if self._turns:
+            self._nursery.start_soon(
+                self._turns[-1].protocol.refuse, STATUS_TIMEOUT
+            )
 
-    async def _send(self, event: hypercorn.events.Event) -> None:
-        if isinstance(event, hypercorn.events.RawData):
-            await self._send_bytes(event.data)
-        elif isinstance(event, hypercorn.events.Closed):
-            self._socket.end_sending()
-            self._socket.close()
-            await self._protocol.handle(event)
-        elif isinstance(event, hypercorn.events.Updated):
-            self.idle_since = trio.current_time() if event.idle else None
-
-    async def _send_bytes(self, data: bytes) -> None:
-        if self._holding:
-            self._holding = False
-            self._held = data
-            return
-        if self._held:
-            data = self._held + data
-            self._held = b""
-        if not data:
-            return
+    async def write(self, data: bytes) -> None:
+        """Send bytes; a caller that is gone gets none."""
         try:
             await self._socket.send_all(data)
         except OSError:
-            self._tell_gone()
+            for turn in tuple(self._turns):
+                turn.tell_gone()
             self._socket.close()
-
-    def _tell_gone(self) -> None:
-        self.gone = True
-        if self.on_gone is not None:
-            self.on_gone()
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -29,6 +29,17 @@
     gone: bool
     on_gone: typing.Callable[[], None] | None
 
+    def claim_close(self) -> bool:
+        """Tell whether the connection may close behind the answer.
+
+        If so, no later request is taken up.
+        """
+        ...
+
+    async def wait(self) -> None:
+        """Wait until all earlier requests are answered, or it is gone."""
+        ...
+
     def reset(self) -> None:
         """Close so that nobody takes the answer as whole."""
         ...
@@ -73,12 +84,17 @@
         """Reset the connection."""
         self._connection.reset()
 
+    async def wait_for_turn(self) -> None:
+        """Wait until all earlier requests of the connection are answered."""
+        await self._connection.wait()
+
     async def relay(
         self, answer: attempts.Answer, attempt: attempts.Attempt
     ) -> outcomes.Unknown | None:
         """Pass an answer on; returns what cut it off, or None if whole."""
         self.started = True
         self._note_progress()
+        await self._connection.wait()
         self._connection.hold_head()
         await self._send(
             asgi.start_message(answer.status, self._headers(answer))
@@ -129,7 +145,8 @@
         )
 
     async def _conclude(self, status: int, lines: asgi.Headers) -> None:
-        if self._closing():
+        await self._connection.wait()
+        if self._is_closing():
             lines.append(headers.CLOSE)
         lines.append(headers.EMPTY)
         self.started = True
@@ -156,10 +173,14 @@
     def _headers(self, answer: attempts.Answer) -> asgi.Headers:
         lines = headers.forward(answer.headers, headers.ANSWER_NAMES_DROPPED)
         lines.append(headers.OUTCOME_ANSWERED)
-        if self._closing():
+        if self._is_closing():
             lines.append(headers.CLOSE)
         return lines
 
+    def _is_closing(self) -> bool:
+        """Tell whether to say that the connection ends with the answer."""
+        return self._closing() and self._connection.claim_close()
+
     def _note_progress(self) -> None:
         if self._scope is not None:
             self._scope.deadline = trio.current_time() + PROGRESS_TIMEOUT
--- a/packages/standins/src/primrosemill/standins/users_instance.py
+++ b/packages/standins/src/primrosemill/standins/users_instance.py
@@ -68,6 +68,7 @@
     def __init__(self, instance_id: str, pause: float = 0.0) -> None:
         self.id = instance_id
         self.pause = pause
+        self.pauses_by_id: dict[str, float] = {}
         self.manner = Manner.WELL
         # It says so in all its answers.
         self.leaving = False
@@ -121,7 +122,8 @@
             await _send(stream, connection, status, lines, b"")
             return True
         self.runs.append(run)
-        if not await self._work(stream, manner):
+        pause = self.pauses_by_id.get(run.request_id, self.pause)
+        if not await self._work(stream, manner, pause):
             self.gone.set()
             return False
         await self._send_answer(stream, connection, run, manner)
@@ -136,9 +138,12 @@
             lines.append((b"retry-after", self.retry_after))
         return lines
 
-    async def _work(self, stream: trio.SocketStream, manner: Manner) -> bool:
+    async def _work(
+        self, stream: trio.SocketStream, manner: Manner, pause: float
+    ) -> bool:
         """Spend the pause; False if the caller left meanwhile."""
-        pause = float("inf") if manner is Manner.HANG else self.pause
+        if manner is Manner.HANG:
+            pause = float("inf")
         if not pause:
             return True
         left = False
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -112,7 +112,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(count: int = 2, document: dict | None = None):
+async def running(
+    count: int = 2, document: dict | None = None, **changes: typing.Any
+):
     """Run a VM before some instances, until it serves."""
     store = users_store.StoreStandin()
     instances = [
@@ -127,7 +129,7 @@
             addresses.append(place.address)
             store.put_json(f"servers/{instance.id}", entry(place.address))
         store.put_json("op/config", document or configuration())
-        made = settings(served.address)
+        made = settings(served.address, **changes)
         vm = entry_vm.EntryVm(
             made, adapter.make(made.feed_address), random.Random(1)
         )
