Answer requests sent behind one another one by one

Overlap brings callers nothing there, and one by one nothing is ever passed on behind an answer that closes. Requests are still read at once, so each keeps its own deadline and a caller that leaves is noticed.

Also: a connection that was reset while it had no room to read on ends; the time for stray bytes after the last answer ends with the caller's close.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -255,10 +255,8 @@
         with trio.CancelScope(deadline=outgoing.deadline) as scope:
             caller.attach(scope)
             try:
-                if not outgoing.idempotent:
-                    # Behind an answer that closes the caller would send it
-                    # again.
-                    await caller.wait_for_turn()
+                # Behind an answer that closes the caller sends it again.
+                await caller.wait_for_turn()
                 return await running.run()
             except replay.CallerGoneError:
                 return exchange.CallerGone()
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -4,8 +4,8 @@
 a cancel scope for each send, and sends head, body and end apart. This one
 sends the head with the first piece of the body and keeps the idle time as a
 number. It also knows what the application must: that the caller left, and
-how to reset the connection. Requests that the caller sends ahead are taken
-up before those before them are answered; docs/design/http-path.md.
+how to reset the connection. Requests that the caller sends ahead are read
+before those before them are answered; docs/design/http-path.md.
 """
 
 import collections
@@ -24,9 +24,9 @@
 RECEIVE_SIZE = 65_536  # bytes
 UPLOAD_MESSAGES = 2  # of an upload that wait for the application
 STATUS_TIMEOUT = 408
-MOST_TURNS = 8  # requests of one connection that are worked on at a time
-# Bytes of requests beyond those that are kept; then no more are read until
-# an answer has gone.
+MOST_TURNS = 8  # requests of one connection that are read and not answered
+# Bytes of further requests that are kept; with more nothing is read until an
+# answer has gone.
 READ_AHEAD = 65_536
 # After the last answer what still comes is read and dropped for this long:
 # closing with unread bytes would reset the answer away.
@@ -58,6 +58,7 @@
         self._closing = False
         self._finished = False
         self._room = trio.lowlevel.ParkingLot()
+        self._linger_scope = trio.CancelScope()
         self.idle_since: float | None = trio.current_time()
         self._head_since: float | None = None
         self._add_turn()
@@ -74,14 +75,14 @@
                 self._rest += data
                 await self._feed()
                 self._note_head()
-                while len(self._rest) > READ_AHEAD and not self._finished:
-                    await self._room.park()
+                await self._wait_for_room()
         except OSError:
             # The caller reset the connection, or it was closed here.
             pass
         except Exception as error:
             self._fail(error)
         finally:
+            self._linger_scope.cancel()
             await self._drop_turns()
             if self.idle_since is None and not self._finished:
                 # A request is in progress: its answer is not whole.
@@ -89,6 +90,13 @@
             self._socket.end_sending()
             self._socket.close()
 
+    async def _wait_for_room(self) -> None:
+        """Read on only once what was read ahead is within its bound."""
+        while len(self._rest) > READ_AHEAD:
+            if self._finished or self._socket.closed:
+                return
+            await self._room.park()
+
     async def _feed(self) -> None:
         """Take up the requests in what was read, as many as may be."""
         if self._feeding:
@@ -173,7 +181,8 @@
 
     async def _linger(self) -> None:
         await self._drop_turns()
-        await trio.sleep(LINGER_TIME)
+        with self._linger_scope:
+            await trio.sleep(LINGER_TIME)
         self._socket.close()
 
     async def _drop_turns(self) -> None:
@@ -216,11 +225,12 @@
     def _fail(self, error: Exception) -> None:
         """Reset after a fault of our own, which must not reach others."""
         self._on_failure(error)
-        self._socket.reset()
+        self.reset()
 
     def reset(self) -> None:
         """Close so that the caller can't take the answer as whole."""
         self._socket.reset()
+        self._room.unpark_all()
 
     def close_if_idle(self, oldest: float) -> None:
         """Close if idle since ``oldest`` or before, a trio time.
@@ -250,3 +260,4 @@
             for turn in tuple(self._turns):
                 turn.tell_gone()
             self._socket.close()
+            self._room.unpark_all()
--- a/packages/proxy/src/primrosemill/proxy/turns.py
+++ b/packages/proxy/src/primrosemill/proxy/turns.py
@@ -1,7 +1,8 @@
-"""Puts the answers to requests that a caller sent ahead into their order.
+"""Puts the requests that a caller sent ahead, and their answers, into order.
 
-Each request of a connection has a turn. Work on several may overlap, but a
-turn writes only once those before it are over.
+Each request of a connection has a turn. It is read at once, so that its
+deadline counts from its arrival, and writes only once those before it are
+over.
 """
 
 import typing
