End answers that come without end, at a bound of size and time

Cause: a body with a huge length or without one went on for as long as the caller read; interim answers in a row were read without a bound; and a peer that always has a few bytes ready kept the loop to itself, as only reads of 16 KiB let others run.

An answer's head, interim answers included, has 128 KiB at most, its body on the platform 4 MiB and 10 s (1 TiB and an hour on the own wire form); beyond that the connection closes and the outcome is unknown, reason overlong. Reads let others run after 16 KiB in all, 512 bytes counted for each call.

--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -31,6 +31,7 @@
     TRUNCATED = "truncated"
     CANCELLED = "cancelled"
     PROTOCOL = "protocol"
+    OVERLONG = "overlong"
     FOREIGN_ANSWER = "foreign_answer"
     ERROR_ANSWER = "error_answer"
     BODY_TOO_LARGE = "body_too_large"
--- a/packages/platform/src/primrosemill/platform/headers.py
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -11,6 +11,10 @@
 # Uploads of the users have 60 KB on average and 360 KB at most; few are in
 # flight at one VM, so whole ones can be kept.
 REPLAY_SIZE = 524_288  # bytes
+# The users' answers have some kilobytes.
+LONGEST_ANSWER = 4_194_304  # bytes
+# The longest that a caller of the users waits for a whole answer.
+LONGEST_RELAY = 10.0  # seconds
 LEAST_TIME_LEFT = 1  # milliseconds; zero could be read as no limit
 # A refusal is a promise that the request has not run, and only some statuses
 # make it: a deadline that passed in the queue is told by one of them.
@@ -72,4 +76,6 @@
     repeat_errors=True,
     hold_unsized=True,
     replay_size=REPLAY_SIZE,
+    longest_answer=LONGEST_ANSWER,
+    longest_relay=LONGEST_RELAY,
 )
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -118,6 +118,8 @@
             await self._response.aclose()
             self._whole = True
             return None
+        except wire.OverlongAnswerError:
+            return outcomes.Unknown(outcomes.UnknownReason.OVERLONG)
         except (httpcore.ProtocolError, httpcore.NetworkError):
             return outcomes.Unknown(outcomes.UnknownReason.TRUNCATED)
 
@@ -161,6 +163,7 @@
             self._request(has_body)
         )
         first_byte = trio.current_time()
+        stream.expect_body(self._outgoing.dialect.longest_answer)
         self._response = response
         self._pieces = aiter(response.stream)
         dialect = self._outgoing.dialect
@@ -244,6 +247,8 @@
     def _failed(self, error: Exception) -> outcomes.NotRun | outcomes.Unknown:
         if not self._connection.stream.wrote:
             return outcomes.NotRun(outcomes.NotRunReason.CLOSED_UNSENT)
+        if isinstance(error, wire.OverlongAnswerError):
+            return outcomes.Unknown(outcomes.UnknownReason.OVERLONG)
         # httpcore names a cause only if bytes came that h11 can't parse.
         if isinstance(error, httpcore.ProtocolError) and error.__cause__:
             return outcomes.Unknown(outcomes.UnknownReason.PROTOCOL)
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -68,6 +68,7 @@
         self._scope: trio.CancelScope | None = None
         self.started = False
         self.gone = False
+        self._relay_ends = math.inf
 
     def attach(self, scope: trio.CancelScope) -> None:
         """Cancel the scope if the caller goes away."""
@@ -93,6 +94,7 @@
     ) -> outcomes.Unknown | None:
         """Pass an answer on; returns what cut it off, or None if whole."""
         self.started = True
+        self._relay_ends = trio.current_time() + self._dialect.longest_relay
         self._note_progress()
         await self._connection.wait()
         self._connection.hold_head()
@@ -183,7 +185,9 @@
 
     def _note_progress(self) -> None:
         if self._scope is not None:
-            self._scope.deadline = trio.current_time() + PROGRESS_TIMEOUT
+            self._scope.deadline = min(
+                trio.current_time() + PROGRESS_TIMEOUT, self._relay_ends
+            )
 
     def _on_gone(self) -> None:
         self.gone = True
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -30,6 +30,9 @@
     outcomes.RefusalReason.HEAD_TOO_LARGE: STATUS_HEAD_TOO_LARGE,
 }
 
+# Above any file that an instance should hand out in one answer.
+LONGEST_ANSWER = 2**40  # bytes
+LONGEST_RELAY = 3_600.0  # seconds
 ReadLoad = typing.Callable[[asgi.Headers], balance.Load | None]
 Pause = expression.Result[float, headers.BadPause]
 ReadPause = typing.Callable[[int, asgi.Headers], Pause | None]
@@ -76,6 +79,9 @@
     sent on after an instance's own error. With ``hold_unsized`` answers of
     unknown length are read whole, too, before they go on. ``replay_size``
     are the bytes of a request's body that are kept for another attempt.
+    ``longest_answer`` are the bytes that an answer's body may have, its
+    framing included, and ``longest_relay`` the seconds for which it may go
+    on to the caller; one without end is cut off there.
     """
 
     timeout: bytes = headers.TIMEOUT
@@ -95,6 +101,8 @@
     repeat_errors: bool = False
     hold_unsized: bool = False
     replay_size: int = replay.BUFFER_SIZE
+    longest_answer: int = LONGEST_ANSWER
+    longest_relay: float = LONGEST_RELAY
 
     def find_request_id(self, lines: asgi.Headers) -> bytes | None:
         """Return the caller's id of a request, or None where it has none."""
--- a/packages/proxy/src/primrosemill/proxy/sockets.py
+++ b/packages/proxy/src/primrosemill/proxy/sockets.py
@@ -14,6 +14,9 @@
 import trio
 
 BULK_SIZE = 16_384  # bytes
+# What a call counts beside its bytes: a peer that always has a few bytes ready
+# must not keep the loop to itself either.
+CALL_SIZE = 512  # bytes
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 CLOSED = -1  # file descriptor of a closed socket
 
@@ -25,6 +28,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = sock
+        self._since_pass = 0
 
     @property
     def closed(self) -> bool:
@@ -38,8 +42,11 @@
                 data = self._socket.recv(max_bytes)
             except BlockingIOError:
                 await wait_readable(self._socket)
+                self._since_pass = 0
                 continue
-            if len(data) >= BULK_SIZE:
+            self._since_pass += len(data) + CALL_SIZE
+            if self._since_pass >= BULK_SIZE:
+                self._since_pass = 0
                 await trio.lowlevel.checkpoint()
             return data
 
--- a/packages/proxy/src/primrosemill/proxy/wire.py
+++ b/packages/proxy/src/primrosemill/proxy/wire.py
@@ -17,6 +17,15 @@
 NOT_ARMED = float("inf")
 
 
+# An answer's head, with the interim answers before it, has at most so many
+# bytes; twice the 64 KiB that common servers allow for their own.
+HEAD_SIZE = 131_072
+
+
+class OverlongAnswerError(httpcore.RemoteProtocolError):
+    """An instance sends more than an answer may have."""
+
+
 class DeadlinePassedError(Exception):
     """The deadline passed before the first byte was written."""
 
@@ -29,6 +38,7 @@
         self._deadline = NOT_ARMED
         self._held = b""
         self._holding = False
+        self._may_read = 0
         self.wrote = False
 
     def arm(self, deadline: float, hold_head: bool) -> None:
@@ -37,6 +47,7 @@
         With ``hold_head`` the first write waits for the second one, so that
         the head and a small body leave in one segment.
         """
+        self._may_read = HEAD_SIZE
         self._deadline = deadline
         self._holding = hold_head
         self._held = b""
@@ -69,11 +80,23 @@
     async def read(
         self, max_bytes: int, timeout: float | None = None
     ) -> bytes:
-        """Receive bytes; empty once the instance closed its side."""
+        """Receive bytes; empty once the instance closed its side.
+
+        Raises httpcore.ReadError, and OverlongAnswerError where the instance
+        has sent more than :meth:`arm` or :meth:`expect_body` allows.
+        """
+        if self._may_read <= 0:
+            raise OverlongAnswerError("more bytes than an answer may have")
         try:
-            return await self._socket.receive(max_bytes)
+            data = await self._socket.receive(max_bytes)
         except OSError as error:
             raise httpcore.ReadError(str(error)) from error
+        self._may_read -= len(data)
+        return data
+
+    def expect_body(self, size: int) -> None:
+        """Let so many bytes come after the head."""
+        self._may_read = size
 
     def close(self) -> None:
         """Close at once; what the instance still sends is lost."""
--- /dev/null
+++ b/tests/platform/test_endless.py
@@ -0,0 +1,109 @@
+"""Tests instances that send bytes without end, until they are closed."""
+
+import tracemalloc
+
+import httpcore
+import testtools
+import trio
+
+from primrosemill.proxy import wire
+from primrosemill.standins import raw
+from tests.builders import users_platform as builders
+
+OK = b"HTTP/1.1 200 OK\r\nprimrosemill-request-id: r1\r\n"
+TIME_LEFT = 600  # milliseconds that a caller waits
+ANSWER_TIME = 15.0  # seconds; a body goes on to its bound of size or time
+SLACK = 1.0  # seconds that others may wait, on a busy machine
+MEMORY = 8_000_000  # bytes that one such answer may take at most
+CHUNKED = OK + b"transfer-encoding: chunked\r\n\r\n"
+# What goes once, and what is repeated.
+SHAPES = {
+    "a head": (OK, b"x-more: " + b"x" * 1_000 + b"\r\n"),
+    "a header line": (OK + b"x-more: ", b"x" * 1_000),
+    "no answer": (b"", b"\x00 no answer at all " * 50),
+    "line ends": (b"", b"\r\n" * 500),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 20),
+    "a body without length": (OK + b"\r\n", b"x" * 1_000),
+    "a body with a huge length": (
+        OK + b"content-length: 99999999999999\r\n\r\n",
+        b"x" * 1_000,
+    ),
+    "chunks": (CHUNKED, b"5\r\nhello\r\n" * 100),
+    "a chunk extension": (CHUNKED + b"5;", b"x" * 1_000),
+    "chunk extensions": (CHUNKED, b"1;" + b"x" * 5_000 + b"\r\nh\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"x-more: " + b"x" * 500 + b"\r\n"),
+}
+
+
+class EndlessTest(testtools.TestCase):
+    def check(self, shape):
+        async def check(built):
+            endless = raw.EndlessStandin(*SHAPES[shape])
+            async with trio.open_nursery() as nursery:
+                served = await nursery.start(endless.serve, builders.IP)
+                built.store.put_json(
+                    "servers/i-9", builders.entry(served.address)
+                )
+                await trio.sleep(0.5)
+                await self.call(built, endless)
+                nursery.cancel_scope.cancel()
+
+        builders.run(check, count=0)
+
+    async def call(self, built, endless):
+        """Check that the answer is in time, and that others are served."""
+        served = False
+        slowest = 0.0
+
+        async def look():
+            nonlocal slowest
+            while True:
+                started = trio.current_time()
+                await builders.get(
+                    built.settings.ready_address, "/-/readiness"
+                )
+                slowest = max(slowest, trio.current_time() - started)
+                await trio.sleep(0.02)
+
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(look)
+            with trio.fail_after(ANSWER_TIME):
+                try:
+                    response = await builders.call(
+                        built,
+                        builders.ONCE_PATH,
+                        "r1",
+                        "POST",
+                        time_left=TIME_LEFT,
+                    )
+                    served = response.status == 200
+                    self.assertIn(response.status, (502, 504))
+                except (httpcore.ProtocolError, httpcore.NetworkError):
+                    # It had begun and was aborted.
+                    pass
+                await endless.closed.wait()
+            nursery.cancel_scope.cancel()
+        self.assertFalse(served)
+        self.assertTrue(endless.closed.is_set())
+        self.assertLess(slowest, SLACK)
+        self.assertLess(tracemalloc.get_traced_memory()[1], MEMORY)
+
+
+def _add(shape):
+    def test(self):
+        self.check(shape)
+
+    name = "test_" + shape.replace(" ", "_") + "_without_end"
+    test.__name__ = name
+    setattr(EndlessTest, name, test)
+
+
+for each in SHAPES:
+    _add(each)
+
+
+class BoundTest(testtools.TestCase):
+    def test_a_head_of_the_usual_size_is_taken(self):
+        self.assertGreaterEqual(wire.HEAD_SIZE, 65_536)
