Look at local instances first; work the view out when it changes

Cause: each choice looked at every instance of its service, and each VM worked out entry points and leads four times a second and for each question of a caller, whether anything had changed or not.

--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -104,8 +104,6 @@
         self, wish: dispatch.Wish, now: float
     ) -> waiting_line.Refused | None:
         """Refuse what no instance can serve in time, however it waits."""
-        if not self.balance.size:
-            return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
         if not self.balance.has_candidate(self._lasting_need(wish, now)):
             return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
         first_return = self.balance.first_return(now)
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -61,6 +61,12 @@
     local: bool = False
 
 
+# How willingly an instance gets a request: by trust, then those of the own
+# domain, then those that this VM leads.
+Place = tuple[float, bool, bool]
+NO_PLACE: Place = (math.inf, True, True)
+
+
 class Crossing(enum.StrEnum):
     """Why a request goes to an instance of another failure domain."""
 
@@ -127,6 +133,11 @@
         self._domain = domain
         self._generator = generator
         self._uses_by_id: dict[str, _Use] = {}
+        # The same, for a choice that need not look at all of them: those of
+        # the own domain, the others, and those with requests of this VM.
+        self._local: list[_Use] = []
+        self._remote: list[_Use] = []
+        self._busy_by_id: dict[str, _Use] = {}
         self._led_ids: frozenset[str] = frozenset()
         self._usual_others = 0.0
 
@@ -138,7 +149,7 @@
     @property
     def busy(self) -> int:
         """Return the number of requests that this VM has at instances."""
-        return sum(len(use.starts) for use in self._uses_by_id.values())
+        return sum(len(use.starts) for use in self._busy_by_id.values())
 
     def instance(self, instance_id: str) -> documents.Instance | None:
         """Return an instance that is known now."""
@@ -152,11 +163,10 @@
 
     def has_local(self, now: float) -> bool:
         """Tell whether the VM's own domain has an instance to trust."""
-        for use in self._uses_by_id.values():
-            instance = use.instance
-            if use.leaving or instance.domain != self._domain:
+        for use in self._local:
+            if use.leaving:
                 continue
-            if self.avoidance.trust(instance.id, now) is TRUSTED:
+            if self.avoidance.trust(use.instance.id, now) is TRUSTED:
                 return True
         return False
 
@@ -179,10 +189,12 @@
             use.remote = instance.domain != self._domain
             use.other_lead = instance.id not in self._led_ids
             self._uses_by_id[instance.id] = use
+        uses = list(self._uses_by_id.values())
+        self._local = [use for use in uses if not use.remote]
+        self._remote = [use for use in uses if use.remote]
+        self._busy_by_id = {use.instance.id: use for use in uses if use.starts}
         self.avoidance.keep(self._uses_by_id)
-        self.announcements.keep(
-            [use.instance for use in self._uses_by_id.values()], now
-        )
+        self.announcements.keep([use.instance for use in uses], now)
 
     def set_led(self, led_ids: frozenset[str]) -> None:
         """Take the instances that this VM should fill first."""
@@ -194,11 +206,34 @@
 
     def choose(self, need: Need, now: float) -> documents.Instance | None:
         """Take a slot of the best instance, or None if all are full."""
-        best: _Use | None = None
-        best_place: tuple[float, bool, bool] = (math.inf, True, True)
-        best_rank: tuple[float, ...] = ()
         trust_by_id = self._suspects(now)
-        for use in self._uses_by_id.values():
+        best, place = self._best_of(
+            self._local, need, now, trust_by_id, NO_PLACE
+        )
+        if place[0] > TRUSTED:
+            # No other domain's instance goes before a trusted one at home.
+            found, _ = self._best_of(
+                self._remote, need, now, trust_by_id, place
+            )
+            best = found or best
+        if best is None:
+            return None
+        best.starts.append(now)
+        self._busy_by_id[best.instance.id] = best
+        return best.instance
+
+    def _best_of(
+        self,
+        uses: list[_Use],
+        need: Need,
+        now: float,
+        trust_by_id: dict[str, avoidance.Trust],
+        best_place: Place,
+    ) -> tuple[_Use | None, Place]:
+        """Return the best instance in a place at least as good, if any."""
+        best: _Use | None = None
+        best_rank: tuple[float, ...] = (math.inf,)
+        for use in uses:
             occupied = self._held_unless_full(use, now)
             if occupied is None or now < use.paused_until:
                 continue
@@ -212,10 +247,7 @@
             rank = self._rank(use, need, occupied, now)
             if place < best_place or rank < best_rank:
                 best, best_place, best_rank = use, place, rank
-        if best is None:
-            return None
-        best.starts.append(now)
-        return best.instance
+        return best, best_place
 
     def crossing(self, instance_id: str, now: float) -> Crossing | None:
         """Return why a request was sent to an instance of another domain.
@@ -245,6 +277,8 @@
             return
         nearest = min(use.starts, key=lambda start: abs(start - started))
         use.starts.remove(nearest)
+        if not use.starts:
+            self._busy_by_id.pop(instance_id, None)
 
     def note_load(self, instance_id: str, load: Load, now: float) -> None:
         """Take what an instance told with an answer.
@@ -354,8 +388,8 @@
         """
         trust_by_id = self.avoidance.suspects(now)
         limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
-        for instance_id, use in self._uses_by_id.items():
-            if use.starts and now - use.starts[0] > limit:
+        for instance_id, use in self._busy_by_id.items():
+            if now - use.starts[0] > limit:
                 trust_by_id[instance_id] = avoidance.Trust.AVOIDED
         avoided = [
             instance_id
--- a/packages/fleet/src/primrosemill/fleet/members.py
+++ b/packages/fleet/src/primrosemill/fleet/members.py
@@ -60,6 +60,9 @@
 
     def __init__(self) -> None:
         self.on_change: OnChange = _ignore_change
+        # Rises with each entry that is kept, so that who works something out
+        # of the members sees whether it still holds.
+        self.changes = 0
         self.members_by_id: dict[str, Member] = {}
         self.present_by_id: dict[str, messages.Entry] = {}
         self.suspect_ids: set[str] = set()
@@ -131,6 +134,7 @@
         vm_id = member.entry.vm_id
         before = self.members_by_id.get(vm_id)
         self.members_by_id[vm_id] = member
+        self.changes += 1
         self.on_change(before, member)
         self.suspect_ids.discard(vm_id)
         if member.entry.liveness is messages.Liveness.GONE:
@@ -145,6 +149,7 @@
         member = self.members_by_id.get(vm_id)
         if member is not None:
             self.members_by_id[vm_id] = member._replace(listed_leaving=True)
+            self.changes += 1
 
     def restart_clocks(self, now: float) -> None:
         """Give every suspect its whole time again."""
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -32,7 +32,7 @@
 from primrosemill.proxy import stopping
 from primrosemill.telemetry import events
 
-VIEW_INTERVAL = 0.25  # seconds between looks at the members
+VIEW_INTERVAL = 0.25  # seconds between looks whether the members changed
 # Of the time for a stop: so long requests are taken as before, because
 # callers hold old answers; then connections end.
 SERVE_SHARE = 0.5
@@ -46,6 +46,13 @@
 NEWS_WAITING = 64  # messages that were not sent yet; later ones are dropped
 
 
+class _LeadBasis(typing.NamedTuple):
+    """What the instances that a VM leads follow from."""
+
+    points: tuple[homes.Vm, ...]
+    instances: tuple[documents.Instance, ...]
+
+
 class News(typing.NamedTuple):
     """A message on an instance, and the failure domain of that."""
 
@@ -112,6 +119,9 @@
         self._document = documents.empty_document(settings.fleet)
         self._view = entry_points.View((), 0)
         self._points: tuple[homes.Vm, ...] = ()
+        self._points_by_domain: dict[str, tuple[homes.Vm, ...]] = {}
+        self._lead_basis_by_service: dict[str, _LeadBasis] = {}
+        self._told_by_domain: dict[str, tuple[str, ...]] = {}
         self._leaving = False
         self._scope = trio.CancelScope()
         self._stopper = stopping.Stopper(
@@ -252,23 +262,33 @@
     ) -> adapters.Directions | None:
         """Return the entry points for a caller; None while unknown."""
         domain = question.domain or self._own.domain
-        points = entry_points.entry_points(self._view, domain)
+        points = self._points_of(domain)
         if not points:
             return None
-        address_by_id = self._address_by_id()
         addresses = tuple(
-            address_by_id[vm.id] for vm in points if vm.id in address_by_id
+            address
+            for address in (self._address_of(vm.id) for vm in points)
+            if address is not None
         )
         return adapters.Directions(addresses, self._settings.answer_lifetime)
 
-    def _address_by_id(self) -> dict[str, str]:
-        """Return where callers reach each VM; ports are the same on all."""
+    def _points_of(self, domain: str) -> tuple[homes.Vm, ...]:
+        """Return the entry points of a domain, worked out once a view."""
+        points = self._points_by_domain.get(domain)
+        if points is None:
+            points = entry_points.entry_points(self._view, domain)
+            if any(vm.domain == domain for vm in self._view.vms):
+                # Callers may ask for any name, so others are not kept.
+                self._points_by_domain[domain] = points
+        return points
+
+    def _address_of(self, vm_id: str) -> str | None:
+        """Return where callers reach a VM; ports are the same on all."""
         own = self._settings.caller_address
-        port = own.rpartition(":")[2]
-        found = {self._own.id: own}
-        for member in self.peers.present():
-            found[member.entry.vm_id] = f"{member.entry.ip}:{port}"
-        return found
+        if vm_id == self._own.id:
+            return own
+        ip = self.peers.address_of(vm_id)
+        return None if ip is None else f"{ip}:{own.rpartition(':')[2]}"
 
     def _note_change(
         self, applied: mirror.Applied, source: str, now: float
@@ -385,12 +405,21 @@
 
     async def _tell_news(self) -> None:
         async for news in self._news:
-            told = entry_points.told_ids(self._view, self._own, news.domain)
+            told = self._told_by_domain.get(news.domain)
+            if told is None:
+                told = entry_points.told_ids(
+                    self._view, self._own, news.domain
+                )
+                self._told_by_domain[news.domain] = told
             await self.peers.node.tell(news.message, told)
 
     async def _keep_view(self) -> None:
+        seen = None
         while True:
-            self._update_view()
+            state = (self.peers.changes, self._leaving)
+            if state != seen:
+                seen = state
+                self._update_view()
             await trio.sleep(VIEW_INTERVAL)
 
     def _update_view(self) -> None:
@@ -401,6 +430,10 @@
                 entry = member.entry
                 vms.append(homes.Vm(entry.vm_id, entry.domain, entry.carries))
         services = self._document.services_by_name.values()
+        for name in self._lead_basis_by_service.keys() - (
+            self._document.services_by_name.keys()
+        ):
+            del self._lead_basis_by_service[name]
         slots = sum(
             instance.slots
             for service in services
@@ -408,16 +441,24 @@
             if not instance.leaving
         )
         self._view = entry_points.View(tuple(vms), slots)
-        self._points = entry_points.entry_points(self._view, self._own.domain)
+        self._points_by_domain.clear()
+        self._told_by_domain.clear()
+        self._points = self._points_of(self._own.domain)
         for service in services:
-            self._balancers.set_led(
-                service.name,
-                entry_points.led_ids(
-                    self._own, self._points, service.instances
-                ),
-            )
+            self._update_led(service)
         self._share_budget(len({vm.domain for vm in vms}))
 
+    def _update_led(self, service: documents.Service) -> None:
+        """Work out what this VM leads, unless nothing of it has changed."""
+        basis = _LeadBasis(self._points, service.instances)
+        if self._lead_basis_by_service.get(service.name) == basis:
+            return
+        self._lead_basis_by_service[service.name] = basis
+        self._balancers.set_led(
+            service.name,
+            entry_points.led_ids(self._own, self._points, service.instances),
+        )
+
     def _share_budget(self, domains: int) -> None:
         """Take this VM's part of what the fleet may send more than once."""
         spenders = max(1, domains) * max(1, len(self._points))
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -94,6 +94,20 @@
         member = self.node.membership.table.members_by_id.get(vm_id)
         return member is not None and member.state is members.State.LIVE
 
+    @property
+    def changes(self) -> int:
+        """Return a number that rises with each change of the members."""
+        if self.node.membership is None:
+            return 0
+        return self.node.membership.table.changes
+
+    def address_of(self, vm_id: str) -> str | None:
+        """Return the IP number of another VM; None for one that is gone."""
+        if self.node.membership is None:
+            return None
+        entry = self.node.membership.table.present_by_id.get(vm_id)
+        return None if entry is None else entry.ip
+
     def present(self) -> list[members.Member]:
         """Return the other VMs that are not gone."""
         if self.node.membership is None:
