Take no answer without an id on a connection that was used before

Cause: a failure without its request's id counted as the answer to the request in flight. A late copy of an earlier refusal was read as "not run" while the request ran, and it was sent again: run twice.

--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -91,6 +91,7 @@
         self._response: httpcore.Response | None = None
         self._pieces: typing.AsyncGenerator[bytes, None] | None = None
         self._whole = False
+        self._reused = False
         self.maybe_ran = False
         self.draining = False
         self.load: balance.Load | None = None
@@ -145,6 +146,7 @@
             self._instance, self._outgoing.idempotent
         )
         if self._connection is not None:
+            self._reused = True
             return None
         with trio.move_on_after(CONNECT_TIMEOUT):
             try:
@@ -186,7 +188,9 @@
     def _is_own(self, response: httpcore.Response) -> bool:
         """Tell whether an answer belongs to the request that was sent.
 
-        An instance may leave the id out of a failure, not of a success.
+        An instance may leave the id out of a failure, not of a success. On a
+        connection that was used before, such a failure may be a late copy of
+        an earlier answer, so it belongs to nobody.
         """
         request_id = self._outgoing.request_id
         if request_id is None:
@@ -194,7 +198,8 @@
         name = self._outgoing.dialect.request_id
         told = headers.find(response.headers, name)
         if told is None:
-            return response.status >= FIRST_ERROR_STATUS
+            failed = response.status >= FIRST_ERROR_STATUS
+            return failed and not self._reused
         return told == request_id
 
     def _request(self, has_body: bool) -> httpcore.Request:
--- a/packages/standins/src/primrosemill/standins/users_instance.py
+++ b/packages/standins/src/primrosemill/standins/users_instance.py
@@ -72,6 +72,9 @@
         self.manner = Manner.WELL
         # It says so in all its answers.
         self.leaving = False
+        # Bytes that it sends, once, when the next request has arrived on the
+        # connection of an answered one; empty for none.
+        self.late_copy = b""
         # The value that it adds to a refusal; None for none.
         self.retry_after: bytes | None = None
         self.next_manners: collections.deque[Manner] = collections.deque()
@@ -111,6 +114,9 @@
             return False
         if self.next_manners:
             self.next_manners.popleft()
+        if self.late_copy and self.runs:
+            late, self.late_copy = self.late_copy, b""
+            await stream.send_all(late)
         expected = run.headers.get(EXPECTED, self.id)
         if expected != self.id or manner is Manner.SHED:
             self.turned_away.append(run)
@@ -118,7 +124,8 @@
             line = (b"primrosemill-instance-id", self.id.encode())
             if status == 503:
                 line = (b"primrosemill-not-executed", b"1")
-            lines = [line, *self._announcements(status)]
+            echo = (b"primrosemill-request-id", run.request_id.encode())
+            lines = [line, echo, *self._announcements(status)]
             await _send(stream, connection, status, lines, b"")
             return True
         self.runs.append(run)
