Try a hedge again that found no room

Now the slot is taken before the token, and without either the hedge is tried again after its delay.

--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -7,6 +7,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import pool as slot_pools
 from primrosemill.proxy import attempts
 from primrosemill.proxy import callers
 from primrosemill.proxy import flights
@@ -311,12 +312,14 @@
         sent = self._sent_ids | {each.instance.id for each in self._flights}
         if self._most_instances and len(sent) >= self._most_instances:
             return None
-        if not self._retries.hedge_started(self._context.service):
-            return None
         wish = self._wish()._replace(excluded=frozenset(sent))
-        instance = self._context.dispatcher.try_acquire(wish)
+        dispatcher = self._context.dispatcher
+        instance = dispatcher.try_acquire(wish)
         if instance is None:
             return None
+        if not self._retries.hedge_started(self._context.service):
+            dispatcher.release(instance.id, 0.0, slot_pools.End.FAILED)
+            return None
         outgoing = self._context.outgoing
         self._reports.note_hedge(
             outgoing.id_text,
--- a/packages/proxy/src/primrosemill/proxy/hedging.py
+++ b/packages/proxy/src/primrosemill/proxy/hedging.py
@@ -12,6 +12,7 @@
 from primrosemill.proxy import flights
 from primrosemill.proxy import timers
 
+LEAST_DELAY = 0.02  # seconds until a hedge without room is tried again
 Launch = typing.Callable[[], flights.Flight | None]
 
 
@@ -84,29 +85,38 @@
 
         The caller lands every flight; none runs any more.
         """
-        timer = self._hedges.timers.call_at(
-            trio.current_time() + delay, lambda: self._hedge(launch_second)
-        )
+        self._set_timer(delay, launch_second)
         try:
             with self._scope:
                 await first.run()
-            timer.cancel()
+            self._timer.cancel()
             return await self._choose(first)
         finally:
-            timer.cancel()
+            self._timer.cancel()
             await self._end_second()
 
-    def _hedge(self, launch_second: Launch) -> None:
-        """Start the second attempt; a fault ends this request alone."""
+    def _set_timer(self, delay: float, launch_second: Launch) -> None:
+        self._timer = self._hedges.timers.call_at(
+            trio.current_time() + delay,
+            lambda: self._hedge(delay, launch_second),
+        )
+
+    def _hedge(self, delay: float, launch_second: Launch) -> None:
+        """Start the second attempt; a fault ends this request alone.
+
+        Where no instance has room now, it is tried again a little later.
+        """
         try:
             flight = launch_second()
         except Exception as error:
             self._error = error
             self._scope.cancel()
             return
-        if flight is not None:
-            self._second = Second(flight, self._scope)
-            self._hedges.start(self._second)
+        if flight is None:
+            self._set_timer(max(LEAST_DELAY, delay), launch_second)
+            return
+        self._second = Second(flight, self._scope)
+        self._hedges.start(self._second)
 
     async def _choose(self, first: flights.Flight) -> flights.Flight:
         if self._error is not None:
--- a/tests/platform/test_pipeline_fuzz.py
+++ b/tests/platform/test_pipeline_fuzz.py
@@ -89,7 +89,7 @@
         async def check(built):
             stream = await pipelines.connect(built)
             places = [0, *sorted(cut for cut in cuts if cut < len(data))]
-            for start, end in zip(places, [*places[1:], None]):
+            for start, end in zip(places, [*places[1:], None], strict=True):
                 try:
                     await stream.send_all(data[start:end])
                 except trio.BrokenResourceError:
