--- a/tests/builders/load.py
+++ b/tests/builders/load.py
@@ -21,6 +21,7 @@
 PATIENT = documents.Route(
     "host", "/slots/", (), True, 2.5, "patient", 0.6, 2, 2
 )
+SPELL_FAILS = 0.9  # of what an instance gets in a spell of errors
 INSTANCE_QUEUE = 12  # requests that an instance holds beyond its slots
 
 
@@ -28,7 +29,8 @@
     """A load: requests a second by route, over some seconds.
 
     Each request comes to one of the ``vms``, which lead the instances that
-    the product would let them lead.
+    the product would let them lead. With ``told`` each hears at once of what
+    failed at another.
     """
 
     rates: dict[documents.Route, float]
@@ -36,6 +38,7 @@
     work: float = 0.2
     returns: int = 0
     vms: int = 1
+    told: bool = False
 
 
 class Outcome(typing.NamedTuple):
@@ -59,6 +62,8 @@
         self.sheds = changes.get("sheds", 0.0)
         self.dead_from = changes.get("dead_from", float("inf"))
         self.fails = changes.get("fails", 0.0)
+        # Times between which it fails nearly all that it gets, at once.
+        self.spells: tuple[tuple[float, float], ...] = ()
         self.running = 0
         self.queue: list[tuple] = []
         self.queued_times: list[float] = []
@@ -87,6 +92,8 @@
                 each.balance.set_led(entry_points.led_ids(vm, vms, records))
         self.outcomes: list[Outcome] = []
         self.attempts_at: list[tuple[float, str]] = []
+        # The routes of the attempts that failed.
+        self.failed_routes: list[documents.Route] = []
         self._count = itertools.count()
         self._events: list[tuple] = []
         self._waiting: dict[tuple[int, int], tuple] = {}
@@ -147,10 +154,10 @@
         instance = self.instances_by_id[told.instance.id]
         instance.taken += 1
         self.attempts_at.append((now, told.instance.id))
-        if now >= instance.dead_from or self._fails(instance):
+        if now >= instance.dead_from or self._fails(instance, now):
             self._give_back(now, request, instance, now, pool.End.FAILED)
-            balance_of = self.allocations[request[5]].balance
-            balance_of.avoidance.failed(told.instance.id, now)
+            self._note_failure(request[5], told.instance.id, now)
+            self.failed_routes.append(request[0])
             self._retry(now, request, told.instance.id)
         elif self._is_shed(instance):
             self._give_back(now, request, instance, now, pool.End.SHED)
@@ -164,7 +171,19 @@
             return True
         return self.generator.random() < instance.sheds
 
-    def _fails(self, instance: Instance) -> bool:
+    def _note_failure(self, vm: int, instance_id: str, now: float) -> None:
+        avoidance_of = self.allocations[vm].balance.avoidance
+        verdict = avoidance_of.failed(instance_id, now)
+        if not self.pattern.told:
+            return
+        for other, each in enumerate(self.allocations):
+            if other != vm:
+                each.balance.avoidance.told(instance_id, verdict.seconds, now)
+
+    def _fails(self, instance: Instance, now: float) -> bool:
+        for start, end in instance.spells:
+            if start <= now < end:
+                return self.generator.random() < SPELL_FAILS
         return bool(instance.fails) and (
             self.generator.random() < instance.fails
         )
--- a/tests/decisions/test_heavy_load.py
+++ b/tests/decisions/test_heavy_load.py
@@ -143,3 +143,32 @@
     def test_a_few_failing_instances_do_not_make_the_rest_queue_up(self):
         play = self.play(4)
         self.assertGreater(play.share(load.URGENT, in_time=True), 0.8)
+
+
+class SpellsOfErrorsAtSingleInstancesTest(testtools.TestCase):
+    """Twelve instances fail by turns for 4 s; eight VMs use them lightly."""
+
+    SPELL = 4.0  # seconds
+    PERIOD = 12.0  # seconds from one spell of an instance to the next
+
+    def play(self, told):
+        made = instances(12)
+        for number, each in enumerate(made):
+            first = number * self.PERIOD / len(made)
+            each.spells = tuple(
+                (start, start + self.SPELL)
+                for start in (first - self.PERIOD, first, first + self.PERIOD)
+            )
+        play = load.Play(made, pattern(30.0, 0.01, vms=8, told=told))
+        play.run()
+        return play
+
+    def test_vms_that_tell_each_other_lose_fewer_requests(self):
+        alone = len(self.play(False).failed_routes)
+        told = len(self.play(True).failed_routes)
+        self.assertTrue(told < 0.6 * alone, (told, alone))
+
+    def test_no_instance_is_given_up(self):
+        play = self.play(True)
+        taken = [each.taken for each in play.instances_by_id.values()]
+        self.assertGreater(min(taken), 0.25 * max(taken))
