--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -60,6 +60,15 @@
     only: frozenset[str] | None = None
     local: bool = False
 
+    @property
+    def explores(self) -> bool:
+        """Tell whether the request may find out how an instance is.
+
+        One that has failed before may be on its last attempt, so it goes
+        where all was well, as one does that must not be repeated.
+        """
+        return self.idempotent and not self.excluded and self.only is None
+
 
 # How willingly an instance gets a request: by trust, then those of the own
 # domain, then those that this VM leads.
@@ -240,7 +249,7 @@
             trust = trust_by_id.get(use.instance.id, TRUSTED)
             if not self._may_get(use, need, trust):
                 continue
-            standing = _standing(trust, need.idempotent and not use.remote)
+            standing = _standing(trust, need.explores and not use.remote)
             place = (standing, use.remote, use.other_lead)
             if place > best_place:
                 continue
@@ -439,7 +448,7 @@
         return (
             # What may be repeated finds out about instances that have been
             # quiet; what may not goes where all was well lately.
-            -age if need.idempotent else age,
+            -age if need.explores else age,
             occupied / max(1, use.instance.slots),
             self._generator.random(),
         )
--- a/tests/decisions/test_balance.py
+++ b/tests/decisions/test_balance.py
@@ -158,3 +158,22 @@
         made.release("i-0", 2.0)
         made.release("gone", 2.0)
         self.assertEqual(0, made.busy)
+
+
+class LastAttemptTest(testtools.TestCase):
+    """A repeatable request that has failed once goes where all was well."""
+
+    def make(self):
+        made = balance.Balance(NEAR, random.Random(1))
+        made.set_instances([instance(number) for number in range(3)], 0.0)
+        # One is on trial after a failure, one was well just now.
+        made.avoidance.failed("i-0", 1.0)
+        made.note_well("i-1", 2.5)
+        return made
+
+    def test_the_first_attempt_tries_the_instance_on_trial(self):
+        self.assertEqual("i-0", self.make().choose(AGAIN, 2.6).id)
+
+    def test_the_second_one_goes_to_the_instance_that_was_well(self):
+        need = balance.Need(True, excluded=frozenset({"i-9"}))
+        self.assertEqual("i-1", self.make().choose(need, 2.6).id)
