Let good answers end an avoidance; use the least suspect of many suspects

A good answer during an avoidance did not count, and among instances kept in use by the floor none went before another.

Now answers to requests that were sent after the failure end an avoidance as they end a trial, and the floor's instances go by what is held against them.

--- a/packages/decisions/src/primrosemill/decisions/avoidance.py
+++ b/packages/decisions/src/primrosemill/decisions/avoidance.py
@@ -46,10 +46,19 @@
 class _Record:
     """What is held against one instance."""
 
-    __slots__ = ("failures", "noted", "on_trial", "passed", "ratio", "until")
+    __slots__ = (
+        "failed_at",
+        "failures",
+        "noted",
+        "on_trial",
+        "passed",
+        "ratio",
+        "until",
+    )
 
     def __init__(self, now: float) -> None:
         self.failures = 0.0
+        self.failed_at = now
         self.noted = now
         self.until = -math.inf
         self.on_trial = False
@@ -103,6 +112,7 @@
             FIRST_AVOIDANCE * 2 ** (max(0.0, record.failures - 1.0)),
         )
         record.until = max(record.until, now + seconds)
+        record.failed_at = now
         record.on_trial = True
         record.passed = 0
         return Verdict(instance_id, Trust.AVOIDED, seconds, record.failures)
@@ -122,16 +132,23 @@
         record.decay(now)
         record.failures = max(record.failures, 1.0)
         record.until = now + seconds
+        record.failed_at = now
         record.on_trial = True
         record.passed = 0
         return Verdict(instance_id, Trust.AVOIDED, seconds, record.failures)
 
     def succeeded(
-        self, instance_id: str, ratio: float | None, now: float
+        self,
+        instance_id: str,
+        ratio: float | None,
+        now: float,
+        started: float = math.inf,
     ) -> Verdict | None:
         """Note an answer; ``ratio`` is its time over the usual time.
 
-        Returns a verdict where the trust in the instance changed.
+        Only requests that ``started`` after the last failure show that the
+        instance is well again. Returns a verdict where the trust in the
+        instance changed.
         """
         record = self._records_by_id.get(instance_id)
         if record is None and (ratio is None or ratio < SLOW_RATIO):
@@ -143,7 +160,9 @@
         if record.ratio > SLOW_RATIO:
             record.ratio = 1.0
             return self.failed(instance_id, now)
-        if not record.on_trial or now < record.until:
+        if record.on_trial and started < record.failed_at:
+            return None
+        if not record.on_trial:
             record.failures = max(0.0, record.failures - SUCCESS_CREDIT)
             self._forget_if_clean(instance_id, record)
             return None
@@ -151,6 +170,7 @@
         if record.passed < min(MOST_TRIALS, TRIALS + record.failures):
             return None
         record.on_trial = False
+        record.until = min(record.until, now)
         failures = record.failures
         self._forget_if_clean(instance_id, record)
         return Verdict(instance_id, Trust.TRUSTED, 0.0, failures)
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -253,7 +253,7 @@
             place = (standing, use.remote, use.other_lead)
             if place > best_place:
                 continue
-            rank = self._rank(use, need, occupied, now)
+            rank = self._rank(use, need, trust, occupied, now)
             if place < best_place or rank < best_rank:
                 best, best_place, best_rank = use, place, rank
         return best, best_place
@@ -439,12 +439,21 @@
         return self.avoidance.failures(use.instance.id) < CONFIRMED_FAILURES
 
     def _rank(
-        self, use: _Use, need: Need, occupied: float, now: float
+        self,
+        use: _Use,
+        need: Need,
+        trust: avoidance.Trust,
+        occupied: float,
+        now: float,
     ) -> tuple[float, ...]:
         """Return the order among instances in the same place."""
         if now < use.cold_until:
             occupied += COLD_PENALTY
         age = (now - use.well_at) // EVIDENCE_STEP
+        if trust is avoidance.Trust.LAST:
+            # The least suspect ones first, whoever asks.
+            failures = self.avoidance.failures(use.instance.id)
+            return (failures, occupied, self._generator.random())
         return (
             # What may be repeated finds out about instances that have been
             # quiet; what may not goes where all was well lately.
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -441,7 +441,7 @@
             ratio = end.elapsed / times.usual(start.route)
         times.note(start.route, end.elapsed)
         balancer.balance.note_well(start.instance_id, start.started)
-        return held.succeeded(start.instance_id, ratio, now)
+        return held.succeeded(start.instance_id, ratio, now, start.started)
 
 
 @functools.singledispatch
--- a/tests/decisions/test_avoidance.py
+++ b/tests/decisions/test_avoidance.py
@@ -54,3 +54,18 @@
         self.held.failed(ID, 0.0)
         self.held.forget(ID)
         self.assertIs(TRUST.TRUSTED, self.held.trust(ID, 0.1))
+
+    def test_good_answers_during_avoidance_end_it(self):
+        self.held.failed(ID, 0.0)
+        self.assertIsNone(self.held.succeeded(ID, 1.0, 0.3, started=0.1))
+        self.assertIs(TRUST.AVOIDED, self.held.trust(ID, 0.3))
+        verdict = self.held.succeeded(ID, 1.0, 0.4, started=0.2)
+        self.assertIs(TRUST.TRUSTED, verdict.trust)
+        self.assertIs(TRUST.TRUSTED, self.held.trust(ID, 0.5))
+
+    def test_answers_to_requests_from_before_the_failure_do_not(self):
+        self.held.failed(ID, 1.0)
+        for number in range(5):
+            now = 1.1 + number / 100
+            self.assertIsNone(self.held.succeeded(ID, 1.0, now, started=0.9))
+        self.assertIs(TRUST.AVOIDED, self.held.trust(ID, 1.2))
--- a/tests/decisions/test_balance.py
+++ b/tests/decisions/test_balance.py
@@ -177,3 +177,15 @@
     def test_the_second_one_goes_to_the_instance_that_was_well(self):
         need = balance.Need(True, excluded=frozenset({"i-9"}))
         self.assertEqual("i-1", self.make().choose(need, 2.6).id)
+
+
+class MostAreSuspectTest(testtools.TestCase):
+    """More instances than the floor lets go fail now and then."""
+
+    def test_the_least_suspect_one_goes_first(self):
+        made = balance.Balance(NEAR, random.Random(1))
+        made.set_instances([instance(number) for number in range(4)], 0.0)
+        for number, failures in enumerate((3, 1, 4, 2)):
+            for _ in range(failures):
+                made.avoidance.failed(f"i-{number}", 1.0)
+        self.assertEqual("i-1", made.choose(ONCE, 1.1).id)
