Put the choice of probe targets and what attempts say into modules of their own

membership.py held who is probed beside the protocol, and balancing.py the types of what is learned and the reading of outcomes beside the line of each service.

--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -13,6 +13,7 @@
 from primrosemill.fleet import dissemination
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
+from primrosemill.fleet import probe_targets
 
 PROBE_INTERVAL = 0.2  # seconds
 DIRECT_TIMEOUT = 0.2  # seconds
@@ -24,18 +25,6 @@
 # probe, so that the doubt comes before the suspicion of others.
 SILENCE = 0.5
 LONGEST_SILENCE = 3.0  # seconds after which silence is believed
-HELPERS = 3
-# The VMs of a failure domain watch each other; so often one probes a VM of
-# another domain, which carries news there and notices the loss of a domain.
-# docs/design/membership.md.
-FAR_INTERVAL = 1.0  # seconds
-# So long after a VM of another domain was suspected or lost, all of its domain
-# may be: every other probe goes there, to find out who is left.
-DOUBT_TIME = 2.0  # seconds
-# With so many suspects there at once a loss is likely, and more are probed.
-LOSS_SUSPECTS = 3
-LOSS_PROBES = 3
-LEAST_NEAR = 2  # other VMs of the own domain; with fewer, all are probed alike
 # Bytes of entries in one message: the rest of a datagram holds the envelope,
 # the sender's entry and the one that the target should refute.
 ENTRIES_SIZE = 1_150
@@ -91,6 +80,9 @@
         self.own = own
         self.version = messages.VersionInForce(0, b"")
         self.table = members.MemberTable()
+        self._targets = probe_targets.ProbeTargets(
+            own.domain, self.table, generator, now
+        )
         self._first_peers = first_peers
         self._listed_by_id: dict[str, ListedPeer] = {}
         self._generator = generator
@@ -98,13 +90,8 @@
         self._nonce = generator.getrandbits(32)
         self._probes_by_nonce: dict[int, _Probe] = {}
         self._relays_by_nonce: dict[int, _Relay] = {}
-        self._near_round: list[str] = []
-        self._far_round: list[str] = []
         self._next_probe = now
-        self._next_far_probe = now
-        self._looks_far = False
         self._new_until_by_id: dict[str, float] = {}
-        self._doubted_until_by_domain: dict[str, float] = {}
         self._next_rejoin = now
         self._last_tick = now
         self._last_heard = now
@@ -135,7 +122,7 @@
     def announce_leaving(self) -> list[Outgoing]:
         """Tell the fleet that this VM leaves; some VMs hear it at once."""
         self._update_own(leaving=True)
-        return self._ping_some(2 * HELPERS)
+        return self._ping_some(2 * probe_targets.HELPERS)
 
     def set_leaving(self, leaving: bool) -> None:
         """Say from the next message on whether this VM takes callers."""
@@ -145,7 +132,7 @@
     def announce_serving(self) -> list[Outgoing]:
         """Tell the fleet that this VM takes callers from now on."""
         self._update_own(leaving=False)
-        return self._ping_some(2 * HELPERS)
+        return self._ping_some(2 * probe_targets.HELPERS)
 
     def set_first_peers(self, peers: tuple[Peer, ...]) -> None:
         """Take other addresses at which VMs of the fleet may answer."""
@@ -154,7 +141,7 @@
     def announce_gone(self) -> list[Outgoing]:
         """Tell the fleet that this process ends now."""
         self._update_own(liveness=messages.Liveness.GONE)
-        return self._ping_some(2 * HELPERS)
+        return self._ping_some(2 * probe_targets.HELPERS)
 
     def announce_version(self, count: int) -> list[Outgoing]:
         """Tell some VMs, chosen at random, of the version in force."""
@@ -209,7 +196,7 @@
                 ):
                     self._new_until_by_id[entry.vm_id] = now + NEW_TIME
                 if entry.liveness is not messages.Liveness.LIVE:
-                    self._doubt_domain(entry, now)
+                    self._targets.doubt(entry, now)
         return news
 
     def tick(self, now: float) -> list[Outgoing]:
@@ -375,7 +362,7 @@
                 self._suspect(probe.target, now, outgoing)
             elif waited >= DIRECT_TIMEOUT and not probe.helped:
                 self._probes_by_nonce[nonce] = probe._replace(helped=True)
-                self._doubt_domain(probe.target, now)
+                self._targets.doubt(probe.target, now)
                 outgoing.append(self._ping(probe.target, nonce))
                 self._ask_helpers(nonce, probe.target, outgoing)
         for nonce, relay in list(self._relays_by_nonce.items()):
@@ -393,7 +380,7 @@
         suspect = self.table.mark_suspect(target.vm_id, now)
         if suspect is None:
             return
-        self._doubt_domain(suspect, now)
+        self._targets.doubt(suspect, now)
         self._pass_on(suspect)
         # It may refute that at once, before others hear of it.
         outgoing.append(self._ping(suspect, self._new_nonce()))
@@ -406,41 +393,14 @@
         self, nonce: int, target: messages.Entry, outgoing: list[Outgoing]
     ) -> None:
         request = messages.ProbeRequest(nonce, target, self.own)
-        for helper in self._choose_helpers(target):
+        for helper in self._targets.choose_helpers(target):
             outgoing.append(Outgoing(helper.ip, helper.port, request))
 
-    def _choose_helpers(self, target: messages.Entry) -> list[messages.Entry]:
-        """Choose VMs near the target, and one elsewhere to try that path."""
-        near, far = [], []
-        for vm_id, entry in self.table.present_by_id.items():
-            if vm_id == target.vm_id or vm_id in self.table.suspect_ids:
-                continue
-            group = near if entry.domain == target.domain else far
-            group.append(entry)
-        far_count = min(len(far), max(1, HELPERS - len(near)))
-        near_count = min(len(near), HELPERS - far_count)
-        return [
-            *self._generator.sample(near, near_count),
-            *self._generator.sample(far, far_count),
-        ]
-
     def _probe_next(self, now: float, outgoing: list[Outgoing]) -> None:
-        """Probe a VM of the own failure domain, or now and then another."""
-        entry = None
-        # Every other probe stays near: where all VMs asked only the dead,
-        # nobody would hear anything and each would doubt itself.
-        self._looks_far = not self._looks_far
-        if self._looks_far:
-            doubted = self._choose_doubted(now)
-            for each in doubted[1:]:
-                self._probe(each, now, outgoing)
-            entry = doubted[0] if doubted else None
-        if entry is None and now >= self._next_far_probe:
-            self._next_far_probe = now + FAR_INTERVAL
-            entry = self._next_of_round(self._far_round, self._far_ids)
-        if entry is None:
-            entry = self._next_of_round(self._near_round, self._near_ids)
-        if entry is not None:
+        probed_ids = {
+            probe.target.vm_id for probe in self._probes_by_nonce.values()
+        }
+        for entry in self._targets.choose(probed_ids, now):
             self._probe(entry, now, outgoing)
 
     def _probe(
@@ -450,76 +410,6 @@
         self._probes_by_nonce[nonce] = _Probe(entry, now, False)
         outgoing.append(self._ping(entry, nonce))
 
-    def _doubt_domain(self, entry: messages.Entry, now: float) -> None:
-        """Note that a VM of another domain does not answer."""
-        if entry.domain != self.own.domain:
-            until = now + DOUBT_TIME
-            self._doubted_until_by_domain[entry.domain] = until
-
-    def _choose_doubted(self, now: float) -> list[messages.Entry]:
-        """Choose VMs of other domains that may be lost as a whole."""
-        doubted = {
-            domain
-            for domain, until in self._doubted_until_by_domain.items()
-            if now < until
-        }
-        if not doubted:
-            return []
-        probed = {
-            probe.target.vm_id for probe in self._probes_by_nonce.values()
-        }
-        unknown = [
-            entry
-            for vm_id, entry in self.table.present_by_id.items()
-            if entry.domain in doubted
-            and vm_id not in self.table.suspect_ids
-            and vm_id not in probed
-        ]
-        suspects = sum(
-            self.table.members_by_id[vm_id].entry.domain in doubted
-            for vm_id in self.table.suspect_ids
-        )
-        count = LOSS_PROBES if suspects >= LOSS_SUSPECTS else 1
-        return self._generator.sample(unknown, min(count, len(unknown)))
-
-    def _next_of_round(
-        self, left: list[str], find_ids: typing.Callable[[], list[str]]
-    ) -> messages.Entry | None:
-        """Return the next VM of a round; each has a new random order."""
-        for _ in range(2):
-            while left:
-                entry = self.table.present_by_id.get(left.pop())
-                if entry is not None:
-                    return entry
-            left += find_ids()
-            self._generator.shuffle(left)
-        return None
-
-    def _near_ids(self) -> list[str]:
-        """Return the VMs that this one watches most closely."""
-        near = self._near_entries()
-        if len(near) < LEAST_NEAR:
-            return list(self.table.present_by_id)
-        return [entry.vm_id for entry in near]
-
-    def _near_entries(self) -> list[messages.Entry]:
-        """Return the other VMs of the own failure domain."""
-        return [
-            entry
-            for entry in self.table.present_by_id.values()
-            if entry.domain == self.own.domain
-        ]
-
-    def _far_ids(self) -> list[str]:
-        """Return the VMs that are not watched closely."""
-        if len(self._near_entries()) < LEAST_NEAR:
-            return []
-        return [
-            vm_id
-            for vm_id, entry in self.table.present_by_id.items()
-            if entry.domain != self.own.domain
-        ]
-
     def _ping_absent(self, outgoing: list[Outgoing]) -> None:
         """Ping one address that should answer but is not in the view.
 
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -5,9 +5,7 @@
 waits for it, and what an attempt met changes the trust in its instance.
 """
 
-import functools
 import random
-import typing
 
 import trio
 
@@ -16,30 +14,16 @@
 from primrosemill.decisions import avoidance
 from primrosemill.decisions import balance
 from primrosemill.decisions import dispatch
-from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
 from primrosemill.decisions import standings
 from primrosemill.decisions import waiting_line
 from primrosemill.proxy import alarm as alarms
-from primrosemill.proxy import headers
+from primrosemill.proxy import judgements
+from primrosemill.proxy import learned
 from primrosemill.proxy import plugs
 from primrosemill.proxy import waiters
 from primrosemill.telemetry import events
 
-NOT_FAILURES = frozenset(
-    {
-        outcomes.NotRunReason.SHED,
-        outcomes.NotRunReason.CANCELLED_UNSENT,
-        outcomes.NotRunReason.CLOSED_UNSENT,
-    }
-)
-# The path to the instance failed, which says nothing to other VMs.
-PATH_FAILURES = frozenset(
-    {
-        outcomes.NotRunReason.CONNECT_TIMEOUT,
-        outcomes.NotRunReason.CONNECT_FAILED,
-    }
-)
 STATES_BY_TRUST = {
     avoidance.Trust.TRUSTED: standings.State.IN_ROTATION,
     avoidance.Trust.ON_TRIAL: standings.State.TRIAL,
@@ -48,72 +32,6 @@
 }
 
 
-# Sources of the news that an instance is leaving.
-OWN_WORD = "answer"
-PEER = "peer"
-
-
-class Judgement(typing.NamedTuple):
-    """What an attempt said of its instance.
-
-    ``failed`` is None where it says nothing; ``shared`` tells that peers
-    should know.
-    """
-
-    failed: bool | None
-    shared: bool = False
-
-
-class Changed(typing.NamedTuple):
-    """The trust of this VM in an instance changed, and why."""
-
-    service: str
-    boot: int
-    verdict: avoidance.Verdict
-    cause: str
-    domain: str
-    request_id: str = ""
-    shared: bool = False
-
-
-class Departure(typing.NamedTuple):
-    """An instance is leaving by its own word, told here or to a peer."""
-
-    service: str
-    instance: documents.Instance
-    source: str
-    request_id: str = ""
-
-
-class Pause(typing.NamedTuple):
-    """An instance wants no request for some seconds.
-
-    ``fault`` tells why its wish can't be used as it is.
-    """
-
-    service: str
-    instance_id: str
-    boot: int
-    seconds: float
-    request_id: str
-    fault: headers.BadPause | None = None
-
-
-OnChange = typing.Callable[[Changed], None]
-OnDeparture = typing.Callable[[Departure], None]
-OnCrossing = typing.Callable[[balance.Crossing], None]
-OnPause = typing.Callable[[Pause], None]
-
-
-class Listeners(typing.NamedTuple):
-    """Who is told of what this VM learns of instances."""
-
-    on_change: OnChange
-    on_departure: OnDeparture
-    on_pause: OnPause
-    on_crossing: OnCrossing
-
-
 class Balancer:
     """Carries requests for one service to its allocation.
 
@@ -234,7 +152,7 @@
         self,
         domain: str,
         generator: random.Random,
-        listeners: Listeners,
+        listeners: learned.Listeners,
         floor_share: float = balance.FLOOR_SHARE,
     ) -> None:
         self._domain = domain
@@ -274,14 +192,20 @@
         )
         if verdict is not None:
             self._listeners.on_change(
-                Changed(service, instance.boot, verdict, PEER, instance.domain)
+                learned.Changed(
+                    service,
+                    instance.boot,
+                    verdict,
+                    learned.PEER,
+                    instance.domain,
+                )
             )
 
     def take_departure(
         self, service: str, instance_id: str, boot: int
     ) -> None:
         """Take the word of a peer that an instance says it is leaving."""
-        self._note_leaving(service, instance_id, boot, PEER)
+        self._note_leaving(service, instance_id, boot, learned.PEER)
 
     def _note_leaving(
         self,
@@ -298,7 +222,7 @@
             return
         instance = balancer.balance.instance(instance_id)
         self._listeners.on_departure(
-            Departure(service, instance, source, request_id)
+            learned.Departure(service, instance, source, request_id)
         )
         balancer.wake()
 
@@ -359,7 +283,7 @@
             events.ATTEMPT_ENDED,
             request_id=end.start.request_id,
             instance_id=end.start.instance_id,
-            outcome=_cause(end.outcome),
+            outcome=judgements.cause(end.outcome),
             elapsed=round(end.elapsed, 4),
             load=end.load,
         )
@@ -374,14 +298,14 @@
         if end.load is not None:
             balancer.balance.note_load(instance.id, end.load, now)
         self._take_announcements(balancer, end, now)
-        judged = judge(end.outcome, end)
+        judged = judgements.judge(end.outcome, end)
         if judged.failed is None:
             return
         verdict = self._weigh(balancer, end, judged, now)
         if verdict is not None:
-            cause = _cause(end.outcome)
+            cause = judgements.cause(end.outcome)
             self._listeners.on_change(
-                Changed(
+                learned.Changed(
                     start.service,
                     start.boot,
                     verdict,
@@ -403,7 +327,7 @@
                 start.service,
                 start.instance_id,
                 start.boot,
-                OWN_WORD,
+                learned.OWN_WORD,
                 start.request_id,
             )
         if end.pause is None:
@@ -414,7 +338,7 @@
             start.instance_id, start.boot, seconds, now
         )
         self._listeners.on_pause(
-            Pause(
+            learned.Pause(
                 start.service,
                 start.instance_id,
                 start.boot,
@@ -428,7 +352,7 @@
         self,
         balancer: Balancer,
         end: plugs.AttemptEnd,
-        judged: Judgement,
+        judged: judgements.Judgement,
         now: float,
     ) -> avoidance.Verdict | None:
         held = balancer.balance.avoidance
@@ -442,48 +366,3 @@
         times.note(start.route, end.elapsed)
         balancer.balance.note_well(start.instance_id, start.started)
         return held.succeeded(start.instance_id, ratio, now, start.started)
-
-
-@functools.singledispatch
-def judge(outcome: outcomes.Outcome, end: plugs.AttemptEnd) -> Judgement:
-    """Return what an attempt's outcome says of its instance."""
-    raise NotImplementedError(type(outcome))
-
-
-@judge.register
-def _judge_answer(
-    outcome: outcomes.Answered, end: plugs.AttemptEnd
-) -> Judgement:
-    failed = outcome.status >= outcomes.FIRST_SERVER_ERROR
-    return Judgement(failed, failed)
-
-
-@judge.register
-def _judge_not_run(
-    outcome: outcomes.NotRun, end: plugs.AttemptEnd
-) -> Judgement:
-    if outcome.reason in NOT_FAILURES:
-        return Judgement(None)
-    return Judgement(True, outcome.reason not in PATH_FAILURES)
-
-
-@judge.register
-def _judge_unknown(
-    outcome: outcomes.Unknown, end: plugs.AttemptEnd
-) -> Judgement:
-    if not end.abandoned:
-        return Judgement(True, True)
-    # A request that waited long before has little time left to be answered.
-    if end.timed_out and end.elapsed >= balance.LEAST_STALL:
-        return Judgement(True, True)
-    return Judgement(None)
-
-
-@functools.singledispatch
-def _cause(outcome: outcomes.Outcome) -> str:
-    return outcome.reason.value
-
-
-@_cause.register
-def _cause_of_answer(outcome: outcomes.Answered) -> str:
-    return f"status_{outcome.status}"
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -25,6 +25,7 @@
 from primrosemill.proxy import counters
 from primrosemill.proxy import discovered
 from primrosemill.proxy import entry_settings
+from primrosemill.proxy import learned
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
@@ -79,7 +80,7 @@
         self._balancers = balancing.Balancers(
             settings.domain,
             generator,
-            balancing.Listeners(
+            learned.Listeners(
                 self._note_trust,
                 self._note_departure,
                 self._note_pause,
@@ -331,7 +332,7 @@
         """Take what an instance said of itself to a peer."""
         self._balancers.take_departure(*departure)
 
-    def _note_departure(self, departure: balancing.Departure) -> None:
+    def _note_departure(self, departure: learned.Departure) -> None:
         """Leave an instance alone that is leaving, and say so."""
         service, instance, source, request_id = departure
         self._application.close_idle(instance)
@@ -343,7 +344,7 @@
             source=source,
             request_id=request_id,
         )
-        told = source == balancing.OWN_WORD
+        told = source == learned.OWN_WORD
         kind = counters.Announcement.LEAVING_TOLD_BY_PEER
         if told:
             kind = counters.Announcement.LEAVING
@@ -355,7 +356,7 @@
             )
         self._counts.announcements.count(kind)
 
-    def _note_pause(self, pause: balancing.Pause) -> None:
+    def _note_pause(self, pause: learned.Pause) -> None:
         kind = counters.Announcement.PAUSE
         if pause.fault is not None:
             kind = counters.Announcement.DAMAGED_PAUSE
@@ -370,7 +371,7 @@
             fault=repr(pause.fault) if pause.fault is not None else "",
         )
 
-    def _note_trust(self, changed: balancing.Changed) -> None:
+    def _note_trust(self, changed: learned.Changed) -> None:
         verdict = changed.verdict
         events.emit(
             events.TRUST_CHANGED,
