--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -9,7 +9,6 @@
 
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
-from primrosemill.decisions import entry_points
 from primrosemill.decisions import homes
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
@@ -25,6 +24,7 @@
 from primrosemill.proxy import counters
 from primrosemill.proxy import discovered
 from primrosemill.proxy import entry_settings
+from primrosemill.proxy import entry_view
 from primrosemill.proxy import learned
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
@@ -47,13 +47,6 @@
 NEWS_WAITING = 64  # messages that were not sent yet; later ones are dropped
 
 
-class _LeadBasis(typing.NamedTuple):
-    """What the instances that a VM leads follow from."""
-
-    points: tuple[homes.Vm, ...]
-    instances: tuple[documents.Instance, ...]
-
-
 class News(typing.NamedTuple):
     """A message on an instance, and the failure domain of that."""
 
@@ -118,11 +111,7 @@
             ),
         )
         self._document = documents.empty_document(settings.fleet)
-        self._view = entry_points.View((), 0)
-        self._points: tuple[homes.Vm, ...] = ()
-        self._points_by_domain: dict[str, tuple[homes.Vm, ...]] = {}
-        self._lead_basis_by_service: dict[str, _LeadBasis] = {}
-        self._told_by_domain: dict[str, tuple[str, ...]] = {}
+        self._view = entry_view.EntryView(self._own)
         self._leaving = False
         self._scope = trio.CancelScope()
         self._stopper = stopping.Stopper(
@@ -201,7 +190,7 @@
             status.describe_service(
                 service,
                 self._application.waiting(service.name),
-                [vm.id for vm in self._points],
+                [vm.id for vm in self._view.points],
                 self._balancers,
             )
             for service in self._document.services_by_name.values()
@@ -263,7 +252,7 @@
     ) -> adapters.Directions | None:
         """Return the entry points for a caller; None while unknown."""
         domain = question.domain or self._own.domain
-        points = self._points_of(domain)
+        points = self._view.points_of(domain)
         if not points:
             return None
         addresses = tuple(
@@ -273,16 +262,6 @@
         )
         return adapters.Directions(addresses, self._settings.answer_lifetime)
 
-    def _points_of(self, domain: str) -> tuple[homes.Vm, ...]:
-        """Return the entry points of a domain, worked out once a view."""
-        points = self._points_by_domain.get(domain)
-        if points is None:
-            points = entry_points.entry_points(self._view, domain)
-            if any(vm.domain == domain for vm in self._view.vms):
-                # Callers may ask for any name, so others are not kept.
-                self._points_by_domain[domain] = points
-        return points
-
     def _address_of(self, vm_id: str) -> str | None:
         """Return where callers reach a VM; ports are the same on all."""
         own = self._settings.caller_address
@@ -406,12 +385,7 @@
 
     async def _tell_news(self) -> None:
         async for news in self._news:
-            told = self._told_by_domain.get(news.domain)
-            if told is None:
-                told = entry_points.told_ids(
-                    self._view, self._own, news.domain
-                )
-                self._told_by_domain[news.domain] = told
+            told = self._view.told_of(news.domain)
             await self.peers.node.tell(news.message, told)
 
     async def _keep_view(self) -> None:
@@ -431,39 +405,25 @@
                 entry = member.entry
                 vms.append(homes.Vm(entry.vm_id, entry.domain, entry.carries))
         services = self._document.services_by_name.values()
-        for name in self._lead_basis_by_service.keys() - (
-            self._document.services_by_name.keys()
-        ):
-            del self._lead_basis_by_service[name]
         slots = sum(
             instance.slots
             for service in services
             for instance in service.instances
             if not instance.leaving
         )
-        self._view = entry_points.View(tuple(vms), slots)
-        self._points_by_domain.clear()
-        self._told_by_domain.clear()
-        self._points = self._points_of(self._own.domain)
-        for service in services:
-            self._update_led(service)
-        self._share_budget(len({vm.domain for vm in vms}))
-
-    def _update_led(self, service: documents.Service) -> None:
-        """Work out what this VM leads, unless nothing of it has changed."""
-        basis = _LeadBasis(self._points, service.instances)
-        if self._lead_basis_by_service.get(service.name) == basis:
-            return
-        self._lead_basis_by_service[service.name] = basis
-        self._balancers.set_led(
-            service.name,
-            entry_points.led_ids(self._own, self._points, service.instances),
+        self._view.update(tuple(vms), slots)
+        led_by_service = self._view.changed_leads(
+            self._document.services_by_name
         )
+        for name, led_ids in led_by_service.items():
+            self._balancers.set_led(name, led_ids)
+        self._share_budget()
 
-    def _share_budget(self, domains: int) -> None:
+    def _share_budget(self) -> None:
         """Take this VM's part of what the fleet may send more than once."""
-        spenders = max(1, domains) * max(1, len(self._points))
-        if self._own not in self._points:
+        points = self._view.points
+        spenders = max(1, self._view.domains) * max(1, len(points))
+        if self._own not in points:
             spenders *= OTHERS_PART
         self._retries.set_bounds(
             BUDGET_SHARE * self._settings.retry_share,
