--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -150,11 +150,6 @@
         self._led_ids: frozenset[str] = frozenset()
         self._usual_others = 0.0
 
-    @property
-    def size(self) -> int:
-        """Return the number of instances that are not leaving."""
-        return sum(not use.leaving for use in self._uses_by_id.values())
-
     @property
     def busy(self) -> int:
         """Return the number of requests that this VM has at instances."""
--- a/tests/decisions/test_announced_load.py
+++ b/tests/decisions/test_announced_load.py
@@ -29,7 +29,8 @@
         made.set_instances(instances, 1.0)
         found = {made.choose(AGAIN, 2.0).id for _ in range(6)}
         self.assertEqual({"i-1", "i-2"}, found)
-        self.assertEqual(2, made.size)
+        only = balance.Need(True, only=frozenset({"i-0"}))
+        self.assertFalse(made.has_candidate(only))
 
     def test_the_floor_does_not_bring_a_leaving_instance_back(self):
         made = balance.Balance(load.DOMAIN, random.Random(1), 1.0)
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -9,7 +9,7 @@
     r"Primrosemill-(Server-Signature|Not-Executed|Expect-Instance"
     r"|Request-Deadline|Instance-Load)|warmup_left_ms|traffic_split"
     r"|route_type|target_latency_ms|/-/(kv-|resolve|readiness)|op/config"
-    r"|max_attempts|store_revision|idle_timeout_ms",
+    r"|max_attempts|store_revision|idle_timeout_ms|Server-Leaving",
     re.IGNORECASE,
 )
 ALLOWED = ("platform", "standins")
