Let no shed shorten the pause that an instance asked for

Cause, found by reading: the rest of a tenth of a second after a shed replaced a longer pause, where a second request was turned away without a wish of its own. Test in tests/decisions/test_announced_load.py, failed first.

--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -263,10 +263,10 @@
             return None
         trust_by_id = self._suspects(now)
         found = Crossing.NONE_LOCAL
-        for each_id, use in self._uses_by_id.items():
-            if use.remote or use.leaving:
+        for use in self._local:
+            if use.leaving:
                 continue
-            if each_id not in trust_by_id:
+            if use.instance.id not in trust_by_id:
                 return Crossing.FULL
             found = Crossing.SUSPECT
         return found
@@ -311,7 +311,7 @@
         use = self._uses_by_id.get(instance_id)
         if use is not None:
             pause = SHED_PAUSE * (0.5 + self._generator.random())
-            use.paused_until = now + pause
+            use.paused_until = max(use.paused_until, now + pause)
 
     def note_leaving(self, instance_id: str, boot: int) -> bool:
         """Send no more to an instance that is leaving.
--- a/tests/decisions/test_announced_load.py
+++ b/tests/decisions/test_announced_load.py
@@ -76,6 +76,13 @@
         self.assertIsNone(made.balance.choose(AGAIN, 4.0))
         self.assertIsNotNone(made.balance.choose(AGAIN, 6.1))
 
+    def test_a_shed_without_a_wish_does_not_shorten_a_pause(self):
+        """Several requests are at an instance that begins to turn away."""
+        made = self.make(1)
+        made.balance.note_pause("i-0", 0, 5.0, 1.0)
+        made.balance.note_shed("i-0", 1.1)
+        self.assertIsNone(made.balance.choose(AGAIN, 2.0))
+
     def test_all_instances_pause(self):
         """Callers are refused at once and told when the first is back."""
         made = self.make(2)
