--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -22,6 +22,10 @@
 ONCE_PATH = "/bookings/new"
 UPLOAD_PATH = "/certificates/new"
 DOMAIN = "ain-sebaa"
+# Several test processes draw ports at the same time.
+PORTS = random.SystemRandom()
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 32_000
 RUN_TIME = 30.0  # seconds that a check may take
 START_TIME = 10.0  # seconds that a VM may take to serve
 
@@ -83,9 +87,24 @@
 
 
 def free_port(ip: str = IP) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a port that nobody has.
+
+    It is below those that the system gives to connections: one of those may
+    be taken by another test before the VM binds it.
+    """
+    while True:
+        port = PORTS.randrange(LOWEST_PORT, HIGHEST_PORT)
+        with socket.socket() as stream, _datagrams() as datagrams:
+            try:
+                stream.bind((ip, port))
+                datagrams.bind((ip, port))
+            except OSError:
+                continue
+        return port
+
+
+def _datagrams() -> socket.socket:
+    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
 
 def settings(store_address: str, **changes) -> entry_settings.EntrySettings:
