Take a feed that comes back from an older copy for a new epoch

Cause: after a drill the store gives revisions out again, and a VM that compares revisions alone keeps what the copy lacks and drops what is written again. Each answer's epoch is decoded in the adapter; the mirror, pulls and heartbeats compare epoch and revision, only a whole read opens an epoch, and late answers of an old one change nothing. An epoch that falls, jumps or can't be read is a typed fault.

--- a/packages/fleet/src/primrosemill/fleet/feed.py
+++ b/packages/fleet/src/primrosemill/fleet/feed.py
@@ -19,6 +19,18 @@
     instance: documents.Instance
 
 
+class Position(typing.NamedTuple):
+    """A point in all that was ever published; the later one is larger.
+
+    Revisions rise within an epoch. A new epoch begins when the source comes
+    back from an older copy and gives revisions out again; a source that
+    never does has epoch 0.
+    """
+
+    epoch: int = 0
+    revision: int = 0
+
+
 class Item(typing.NamedTuple):
     """What is published under one key as of a revision.
 
@@ -42,12 +54,19 @@
     """Items that, on top of revision ``after``, lead to ``revision``.
 
     A whole batch holds all there is: what it does not name is not there.
+    All revisions are of one epoch.
     """
 
     after: int
     revision: int
     items: tuple[Item, ...]
     whole: bool = False
+    epoch: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the point that the batch leads to."""
+        return Position(self.epoch, self.revision)
 
 
 class BadItem(typing.NamedTuple):
@@ -66,12 +85,23 @@
 
 
 class HistoryGone(typing.NamedTuple):
-    """Changes since the revision are not to be had any more."""
+    """Changes since a point are not to be had: all must be read again.
 
-    after: int
+    The source has dropped them, or is in another epoch.
+    """
+
+    after: Position
+
+
+class OldEpoch(typing.NamedTuple):
+    """An answer is of an epoch that has ended, so it is not used."""
+
+    target: str
+    epoch: int
+    known: int
 
 
-FeedFault = interfaces.PlatformFault | HistoryGone
+FeedFault = interfaces.PlatformFault | HistoryGone | OldEpoch
 ReadResult = expression.Result[Read, FeedFault]
 
 
@@ -82,6 +112,6 @@
         """Return all there is."""
         ...
 
-    async def watch(self, after: int, wait: float) -> ReadResult:
-        """Wait up to ``wait`` seconds for changes after a revision."""
+    async def watch(self, after: Position, wait: float) -> ReadResult:
+        """Wait up to ``wait`` seconds for changes after a point."""
         ...
--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -55,11 +55,11 @@
         self._link = link
         self._observe = observe
         self._on_change = on_change
-        self._heard_by_id: dict[str, int] = {}
+        self._heard_by_id: dict[str, feed.Position] = {}
         self._failed_at_by_id: dict[str, float] = {}
         self._news = trio.Event()
         self._outages = outages.Outages(trio.current_time())
-        self._answers_by_key: dict[tuple[str, int], bytes] = {}
+        self._answers_by_key: dict[tuple[str, feed.Position], bytes] = {}
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start the tasks that follow the feed and the peers."""
@@ -68,20 +68,21 @@
         nursery.start_soon(self._expire_retained)
 
     def hear(self, vm_id: str, version: messages.VersionInForce) -> None:
-        """Note the revision that a peer's heartbeat carries."""
-        if version.number <= self.mirror.revision:
+        """Note how far a peer is, as its heartbeat tells."""
+        position = feed.Position(version.epoch, version.number)
+        if position <= self.mirror.position:
             self._heard_by_id.pop(vm_id, None)
             return
-        self._heard_by_id[vm_id] = version.number
+        self._heard_by_id[vm_id] = position
         self._news.set()
 
     def take_changes(self, vm_id: str, changes: messages.Changes) -> None:
         """Merge what a peer has read."""
         batch = changes.batch
         self._apply(batch, vm_id)
-        if batch.revision > self.mirror.revision:
+        if batch.position > self.mirror.position:
             # Something in between was missed.
-            self._heard_by_id[vm_id] = batch.revision
+            self._heard_by_id[vm_id] = batch.position
             self._news.set()
 
     def answer_pull(self, pull: messages.Pull) -> messages.PullAnswer:
@@ -107,20 +108,18 @@
         self._failed_at_by_id.pop(vm_id, None)
 
     def _encode_since(self, key: str) -> bytes:
-        """Encode the changes after the revision that a key names.
+        """Encode the changes after the point that a key names.
 
         A value is pulled in pieces, so one that was begun stays the same.
         """
-        text = key.removeprefix(SINCE)
-        revision = int(text) if text.isdigit() else 0
-        cached = self._answers_by_key.get((key, self.mirror.revision))
+        cached = self._answers_by_key.get((key, self.mirror.position))
         if cached is not None:
             return cached
-        batch = self.mirror.since(revision, trio.current_time())
+        batch = self.mirror.since(_parse_since(key), trio.current_time())
         value = msgspec.msgpack.encode(batch)
         if len(self._answers_by_key) >= CACHED_ANSWERS:
             self._answers_by_key.clear()
-        self._answers_by_key[key, self.mirror.revision] = value
+        self._answers_by_key[key, self.mirror.position] = value
         return value
 
     def _domain_peers(self) -> list[messages.Entry]:
@@ -179,7 +178,7 @@
 
     async def _watch(self) -> feed.ReadResult:
         """Wait for changes; where they were forgotten, read all again."""
-        result = await self._feed.watch(self.mirror.revision, WATCH_WAIT)
+        result = await self._feed.watch(self.mirror.position, WATCH_WAIT)
         if result.is_error() and isinstance(result.error, feed.HistoryGone):
             self._observe(observations.HistoryLost(result.error.after))
             return await self._feed.read()
@@ -188,9 +187,9 @@
     async def _take_read(self, read: feed.Read) -> None:
         for bad in read.bad_items:
             self._observe(observations.BadItemRead(bad))
-        before = self.mirror.revision
+        before = self.mirror.position
         self._apply(read.batch, self._view.own.vm_id)
-        if self.mirror.revision == before or not read.batch.items:
+        if self.mirror.position == before or not read.batch.items:
             return
         await self._push(read.batch)
 
@@ -198,8 +197,14 @@
         now = trio.current_time()
         applied = self.mirror.apply(batch, now, self._outages.retain(now))
         self._view.version = messages.VersionInForce(
-            self.mirror.revision, NO_DIGEST
+            self.mirror.revision, NO_DIGEST, self.mirror.epoch
         )
+        if applied.new_epoch:
+            self._observe(
+                observations.EpochBegan(
+                    batch.epoch, batch.revision, source, len(batch.items)
+                )
+            )
         if applied.instances or applied.routing or applied.older_routing:
             self._on_change(applied, source, now)
         if self.mirror.routing is not None:
@@ -208,7 +213,8 @@
     async def _push(self, batch: feed.Batch) -> None:
         """Pass changes on to the domain, and the news to some others."""
         if self._outages.retain(trio.current_time()):
-            batch = self.mirror.since(batch.after, trio.current_time())
+            after = feed.Position(batch.epoch, batch.after)
+            batch = self.mirror.since(after, trio.current_time())
         changes = messages.Changes(batch)
         if len(msgspec.msgpack.encode(changes)) <= PUSH_SIZE:
             for entry in self._domain_peers():
@@ -221,7 +227,8 @@
 
     async def _announce_to(self, entry: messages.Entry) -> None:
         """Tell a peer of a revision that it then pulls."""
-        empty = feed.Batch(self.mirror.revision, self.mirror.revision, ())
+        epoch, revision = self.mirror.position
+        empty = feed.Batch(revision, revision, (), epoch=epoch)
         await self._link.send(entry.ip, entry.port, messages.Changes(empty))
 
     async def _follow_peers(self) -> None:
@@ -240,10 +247,10 @@
         now = trio.current_time()
         own_domain = self._view.own.domain
         found = None
-        for vm_id, revision in list(self._heard_by_id.items()):
+        for vm_id, position in list(self._heard_by_id.items()):
             member = self._view.table.members_by_id.get(vm_id)
             gone = member is None or member.state is members.State.GONE
-            if gone or revision <= self.mirror.revision:
+            if gone or position <= self.mirror.position:
                 self.forget(vm_id)
                 continue
             failed_at = self._failed_at_by_id.get(vm_id)
@@ -256,21 +263,21 @@
 
     async def _pull_from(self, vm_id: str) -> None:
         entry = self._view.table.members_by_id[vm_id].entry
-        wanted = self._heard_by_id.get(vm_id, 0)
-        key = f"{SINCE}{self.mirror.revision}"
+        wanted = self._heard_by_id.get(vm_id, feed.Position())
+        key = "{}{}/{}".format(SINCE, *self.mirror.position)
         with self._link.open_requests(entry.ip, entry.port) as requests:
             value = await pulls.collect_one(requests, key)
         batch = _decode_batch(value)
         if batch is not None:
             self._apply(batch, vm_id)
-        if self.mirror.revision < wanted:
+        if self.mirror.position < wanted:
             self._failed_at_by_id[vm_id] = trio.current_time()
-            self._observe(observations.PullFailed(vm_id, wanted))
+            self._observe(observations.PullFailed(vm_id, wanted.revision))
 
     async def _expire_retained(self) -> None:
         """Take retained instances as gone once their time is over."""
         while True:
-            expiry = self.mirror.next_expiry()
+            expiry = self.mirror.next_expiry(trio.current_time())
             await trio.sleep(STEP)
             if expiry is not None and trio.current_time() >= expiry:
                 self._on_change(
@@ -278,6 +285,14 @@
                 )
 
 
+def _parse_since(key: str) -> feed.Position:
+    """Return the point that a key names; the beginning where it is odd."""
+    parts = key.removeprefix(SINCE).split("/")
+    if len(parts) != 2 or not all(part.isdigit() for part in parts):
+        return feed.Position()
+    return feed.Position(int(parts[0]), int(parts[1]))
+
+
 def _decode_batch(value: bytes | None) -> feed.Batch | None:
     if value is None:
         return None
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -35,8 +35,8 @@
     PULL = 6
     PULL_ANSWER = 7
     CHANGES = 8
-    SUSPICION = 9
     DEPARTURE = 10
+    SIGHTINGS = 11
 
 
 class Liveness(enum.IntEnum):
@@ -72,10 +72,14 @@
 
 
 class VersionInForce(typing.NamedTuple):
-    """The configuration version of a VM and the digest of its index."""
+    """The configuration version of a VM and the digest of its index.
+
+    With a feed it is the revision, in an epoch of the feed.
+    """
 
     number: Count
     digest: Digest
+    epoch: Count = 0
 
 
 class Ping(typing.NamedTuple):
@@ -170,16 +174,33 @@
     batch: feed.Batch
 
 
-class Suspicion(typing.NamedTuple):
-    """Tells that an instance has just failed a request of the sender.
+class Seen(enum.IntEnum):
+    """How an instance answered a request."""
+
+    GOOD = 0
+    FAILED = 1
+
+
+class Sighting(typing.NamedTuple):
+    """Tells how an instance answered a request of the sender.
 
-    The sender avoids it for so many seconds.
+    ``age`` is in ms when the message is sent: since the failure, or since
+    the start of the request that was answered well.
     """
 
     service: Name
     instance_id: Name
     boot: Count
-    seconds: float
+    seen: Seen
+    age: Count
+
+
+class Sightings(typing.NamedTuple):
+    """Tells what the sender has just seen of some instances."""
+
+    sightings: typing.Annotated[
+        tuple[Sighting, ...], msgspec.Meta(max_length=16)
+    ]
 
 
 class Departure(typing.NamedTuple):
@@ -199,8 +220,8 @@
     | Pull
     | PullAnswer
     | Changes
-    | Suspicion
     | Departure
+    | Sightings
 )
 
 KINDS_BY_TYPE: dict[type, Kind] = {
@@ -212,6 +233,6 @@
     Pull: Kind.PULL,
     PullAnswer: Kind.PULL_ANSWER,
     Changes: Kind.CHANGES,
-    Suspicion: Kind.SUSPICION,
     Departure: Kind.DEPARTURE,
+    Sightings: Kind.SIGHTINGS,
 }
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -36,8 +36,8 @@
 ReportHandler = typing.Callable[[evidence.Report, float], None]
 
 
-# Gets what a peer suspects.
-SuspicionHandler = typing.Callable[[messages.Suspicion], None]
+# Gets what a peer has seen of instances.
+SightingsHandler = typing.Callable[[messages.Sightings], None]
 # Gets what an instance said of itself to a peer.
 DepartureHandler = typing.Callable[[messages.Departure], None]
 
@@ -50,7 +50,7 @@
     pass
 
 
-def _ignore_suspicion(suspicion: messages.Suspicion) -> None:
+def _ignore_sightings(told: messages.Sightings) -> None:
     pass
 
 
@@ -94,7 +94,7 @@
     observe: observations.Observer = observations.ignore
     on_report: ReportHandler = _ignore_report
     on_change: feed_follower.ChangeHandler = _ignore_change
-    on_suspicion: SuspicionHandler = _ignore_suspicion
+    on_sightings: SightingsHandler = _ignore_sightings
     on_departure: DepartureHandler = _ignore_departure
 
 
@@ -292,8 +292,8 @@
             if self._platform.source is not None:
                 self.follower.take_changes(received.sender_id, message)
             return
-        if isinstance(message, messages.Suspicion):
-            self._hooks.on_suspicion(message)
+        if isinstance(message, messages.Sightings):
+            self._hooks.on_sightings(message)
             return
         if isinstance(message, messages.Departure):
             self._hooks.on_departure(message)
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -74,9 +74,21 @@
 
 
 class HistoryLost(typing.NamedTuple):
-    """The feed forgot the changes since a revision; all is read again."""
+    """The feed has no changes since a point; all is read again."""
 
-    after: int
+    after: feed.Position
+
+
+class EpochBegan(typing.NamedTuple):
+    """The feed came back from an older copy, and was read anew.
+
+    ``source`` is the VM that has read it.
+    """
+
+    epoch: int
+    revision: int
+    source: str
+    items: int
 
 
 class BadItemRead(typing.NamedTuple):
@@ -113,6 +125,7 @@
     | StoreAnswered
     | PullFailed
     | HistoryLost
+    | EpochBegan
     | BadItemRead
     | MemberChanged
     | WatchChanged
--- a/packages/platform/src/primrosemill/platform/names.py
+++ b/packages/platform/src/primrosemill/platform/names.py
@@ -23,6 +23,8 @@
 EXPECTED_INSTANCE = b"primrosemill-expect-instance"
 NOT_RUN = b"primrosemill-not-executed"
 LOAD = b"primrosemill-instance-load"
+# In all answers of the store: counts its returns from a copy.
+EPOCH = b"store-era"
 # In any answer of an instance that is leaving.
 LEAVING_SIGN = b"server-leaving"
 LEAVING_VALUE = b"1"
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -28,7 +28,7 @@
     """What is told of changes in the feed and of what peers met."""
 
     on_change: feed_follower.ChangeHandler
-    on_suspicion: node.SuspicionHandler
+    on_sightings: node.SightingsHandler
     on_departure: node.DepartureHandler
 
 
@@ -153,7 +153,11 @@
         elif isinstance(observation, observations.VersionConflict):
             self._log_refusal((observation.fault,))
         elif isinstance(observation, observations.HistoryLost):
-            events.emit(events.FEED_HISTORY_LOST, revision=observation.after)
+            events.emit(
+                events.FEED_HISTORY_LOST, **observation.after._asdict()
+            )
+        elif isinstance(observation, observations.EpochBegan):
+            events.emit(events.FEED_EPOCH_BEGAN, **observation._asdict())
         elif isinstance(observation, observations.BadItemRead):
             events.emit(events.VALUE_REFUSED, **observation.bad._asdict())
         elif isinstance(observation, observations.MemberChanged):
--- a/packages/published/src/primrosemill/published/bounded.py
+++ b/packages/published/src/primrosemill/published/bounded.py
@@ -12,11 +12,15 @@
 MOST_CONNECTIONS = 4
 
 
+Headers = typing.Sequence[tuple[bytes, bytes]]
+
+
 class Answer(typing.NamedTuple):
     """A whole answer, its size within the limit."""
 
     status: int
     content: bytes
+    headers: Headers = ()
 
 
 AnswerResult = expression.Result[Answer, interfaces.PlatformFault]
@@ -84,4 +88,6 @@
             content += chunk
             if len(content) > size_limit:
                 return too_large
-    return expression.Ok(Answer(response.status, bytes(content)))
+    return expression.Ok(
+        Answer(response.status, bytes(content), response.headers)
+    )
--- a/packages/standins/src/primrosemill/standins/users_store.py
+++ b/packages/standins/src/primrosemill/standins/users_store.py
@@ -2,7 +2,8 @@
 
 It speaks the store's reading calls as the users' pages tell them: items in
 pages, changes since a revision, a history that may be forgotten. It can
-refuse, keep silent, be slow or cut watches while it runs.
+refuse, keep silent, be slow or cut watches while it runs, and come back from
+a copy of itself.
 """
 
 import base64
@@ -19,6 +20,7 @@
 PAGE_SIZE = 50  # items
 FIRST_REVISION = 1
 MILLISECONDS = 1_000.0
+EPOCH_HEADER = b"store-era"
 JSON = ((b"content-type", b"application/json"),)
 
 
@@ -34,10 +36,18 @@
 WELL = Faults()
 
 
+class Copy(typing.NamedTuple):
+    """What the store held at some moment."""
+
+    revision: int
+    items_by_key: dict[str, dict[str, typing.Any]]
+
+
 class StoreStandin:
     """Holds items by key; every change has the next revision."""
 
-    def __init__(self) -> None:
+    def __init__(self, epoch: int | None = None) -> None:
+        self.epoch = epoch
         self.faults = WELL
         self.calls = 0
         self.revision = FIRST_REVISION
@@ -74,6 +84,22 @@
         self._tell(event)
         return self.revision
 
+    def copy(self) -> Copy:
+        """Return a copy to come back from."""
+        return Copy(self.revision, dict(self._items_by_key))
+
+    def restore(self, copy: Copy) -> None:
+        """Come back from a copy, without a history, in the next epoch.
+
+        A watch that waits is answered by what is written from then on, as
+        if nothing had happened.
+        """
+        self.epoch = (self.epoch or 0) + 1
+        self.revision = copy.revision
+        self._items_by_key = dict(copy.items_by_key)
+        self._events.clear()
+        self._compacted = 0
+
     def compact(self) -> None:
         """Forget the history; watches that need it get 410."""
         self._events.clear()
@@ -98,19 +124,24 @@
             await trio.sleep_forever()
         await trio.sleep(faults.delay)
         if faults.status is not None:
-            await asgi.respond(send, faults.status, b"", JSON)
+            await asgi.respond(send, faults.status, b"", self._headers())
             return
         if faults.garbled:
-            await asgi.respond(send, 200, b'{"items":', JSON)
+            await asgi.respond(send, 200, b'{"items":', self._headers())
             return
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         if scope["path"] == RANGE_PATH:
-            await asgi.respond(send, 200, self._range(query), JSON)
+            await asgi.respond(send, 200, self._range(query), self._headers())
         elif scope["path"] == WATCH_PATH:
             status, body = await self._watch(query)
-            await asgi.respond(send, status, body, JSON)
+            await asgi.respond(send, status, body, self._headers())
         else:
-            await asgi.respond(send, 404, b"", JSON)
+            await asgi.respond(send, 404, b"", self._headers())
+
+    def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        if self.epoch is None:
+            return JSON
+        return (*JSON, (EPOCH_HEADER, str(self.epoch).encode()))
 
     def _range(self, query: dict[str, str]) -> bytes:
         prefix, after = query.get("prefix", ""), query.get("after", "")
@@ -134,7 +165,7 @@
                 if after < self._compacted:
                     break
                 await self._changed.wait()
-        if after < self._compacted:
+        if after < self._compacted or after > self.revision:
             return 410, b"{}"
         found = self._since(prefix, after)
         answer = {"events": found, "store_revision": self.revision}
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -91,8 +91,17 @@
     "PM2005",
     "feed_history_lost",
     Level.INFO,
-    "The feed forgot the changes since this revision; all is read again.",
-    ("revision",),
+    "The feed has no changes since this point, as it dropped them or came "
+    "back from an older copy; all is read again.",
+    ("epoch", "revision"),
+)
+FEED_EPOCH_BEGAN = Event(
+    "PM2011",
+    "feed_epoch_began",
+    Level.WARNING,
+    "The feed came back from an older copy, and all that it holds was taken "
+    "beside what is known; `source` is the VM that read it.",
+    ("epoch", "revision", "source", "items"),
 )
 VALUE_REFUSED = Event(
     "PM2006",
@@ -176,10 +185,11 @@
     "request_sent",
     Level.INFO,
     "An instance was chosen and the attempt begins. `busy` are this VM's "
-    "requests at the instance, `waited` is the time since the arrival.",
+    "requests at the instance, `chance` is the believed probability of "
+    "success, `waited` is the time since the arrival.",
     (
         *("request_id", "service", "route", "instance_id", "boot"),
-        *("busy", "trust", "waited"),
+        *("busy", "chance", "waited"),
     ),
 )
 ATTEMPT_ENDED = Event(
@@ -257,10 +267,12 @@
     "PM4004",
     "trust_changed",
     Level.INFO,
-    "This VM keeps off an instance for some seconds, or trusts it again. The "
-    "request, if any, is the one whose outcome decided.",
+    "An instance failed a request, or its chance of success moved between "
+    "the levels of trust. `before` and `chance` are the probabilities that a "
+    "request succeeds; the request, if any, is the one whose outcome "
+    "decided.",
     (
-        *("service", "instance_id", "trust", "seconds", "failures"),
+        *("service", "instance_id", "trust", "before", "chance"),
         *("cause", "request_id"),
     ),
 )
@@ -305,7 +317,7 @@
     Level.WARNING,
     "Too many messages on instances wait to be sent, so other VMs are not "
     "told of this one and find out for themselves.",
-    ("message", "service", "instance_id"),
+    ("message",),
 )
 
 CATALOGUE = (
@@ -318,6 +330,7 @@
     STORE_UNREACHABLE,
     STORE_REACHABLE,
     FEED_HISTORY_LOST,
+    FEED_EPOCH_BEGAN,
     VALUE_REFUSED,
     ROUTING_IN_FORCE,
     ROUTING_OLDER,
--- a/tests/builders/feeds.py
+++ b/tests/builders/feeds.py
@@ -57,7 +57,9 @@
             return expression.Error(self.fault)
         return expression.Ok(feed.Read(self.whole))
 
-    async def watch(self, after: int, wait: float) -> feed.ReadResult:
+    async def watch(
+        self, after: feed.Position, wait: float
+    ) -> feed.ReadResult:
         self.calls += 1
         with trio.move_on_after(wait):
             while self.fault is None:
@@ -65,12 +67,15 @@
                     self.forgotten = False
                     return expression.Error(feed.HistoryGone(after))
                 for change in self.changes:
-                    if change.revision > after:
+                    if change.epoch == after.epoch and (
+                        change.position > after
+                    ):
                         return expression.Ok(feed.Read(change))
                 await trio.sleep(0.01)
         if self.fault is not None:
             return expression.Error(self.fault)
-        return expression.Ok(feed.Read(feed.Batch(after, after, ())))
+        nothing = feed.Batch(after.revision, after.revision, ())
+        return expression.Ok(feed.Read(nothing._replace(epoch=after.epoch)))
 
 
 UNREACHABLE = interfaces.Unreachable("store", "ConnectError")
--- a/tests/fleet/test_feed_follower.py
+++ b/tests/fleet/test_feed_follower.py
@@ -112,6 +112,24 @@
 
         run_two(check, builders.UNREACHABLE)
 
+    def test_a_feed_that_came_back_from_a_copy_is_read_by_a_reader(self):
+        async def check(first, second, source, other):
+            source.whole = builders.whole(
+                builders.routing(2, 1), builders.seen(2, 7), epoch=1
+            )
+            source.forgotten = True
+            # The instance that the copy lacks may write its entry again.
+            await until(lambda: second.ids() == ["i-0", "i-7"])
+            await until(lambda: second.ids() == ["i-7"])
+            began = [
+                each
+                for each in second.observed
+                if isinstance(each, observations.EpochBegan)
+            ]
+            self.assertEqual([(1, "vm-1")], [each[::2] for each in began])
+
+        run_two(check, builders.UNREACHABLE)
+
     def test_a_vm_serves_only_once_it_said_so(self):
         async def check(first, second, source, other):
             states = first.node.membership
@@ -121,13 +139,16 @@
 
         run_two(check)
 
-    def test_vms_hear_of_a_suspicion(self):
+    def test_vms_hear_what_a_peer_has_seen(self):
         async def check(first, second, source, other):
             heard = []
             second.node._hooks = second.node._hooks._replace(
-                on_suspicion=heard.append
+                on_sightings=heard.append
+            )
+            sighting = messages.Sighting(
+                "reservations", "i-0", 7, messages.Seen.FAILED, 3
             )
-            told = messages.Suspicion("reservations", "i-0", 7, 1.5)
+            told = messages.Sightings((sighting,))
             await first.node.tell(told, ("vm-2", "vm-9"))
             await until(lambda: heard)
             self.assertEqual([told], heard)
--- a/tests/fleet/test_mirror.py
+++ b/tests/fleet/test_mirror.py
@@ -47,7 +47,7 @@
         removal = builders.batch(4, builders.removed(5, 0))
         self.held.apply(removal, 10.0, retain=2.0)
         self.assertEqual(["i-0", "i-1"], ids(self.held, 11.9))
-        self.assertEqual(12.0, self.held.next_expiry())
+        self.assertEqual(12.0, self.held.next_expiry(10.0))
         self.assertEqual(["i-1"], ids(self.held, 12.1))
 
     def test_an_instance_that_was_leaving_is_not_retained(self):
@@ -80,7 +80,7 @@
         behind = mirror.Mirror()
         behind.apply(builders.whole(builders.seen(3, 0)), 0.0)
         self.held.apply(builders.batch(4, builders.removed(5, 0)), 0.0)
-        behind.apply(self.held.since(behind.revision, 0.0), 0.0)
+        behind.apply(self.held.since(behind.position, 0.0), 0.0)
         self.assertEqual(ids(self.held), ids(behind))
         self.assertEqual(5, behind.revision)
 
@@ -92,12 +92,12 @@
                 builders.removed(revision + 1, 100 + number),
             ):
                 self.held.apply(builders.batch(4, item), 0.0)
-        self.assertTrue(self.held.since(5, 0.0).whole)
-        self.assertFalse(self.held.since(self.held.revision, 0.0).whole)
+        self.assertTrue(self.held.since(feed.Position(0, 5), 0.0).whole)
+        self.assertFalse(self.held.since(self.held.position, 0.0).whole)
 
     def test_a_batch_survives_the_way_to_a_peer(self):
         self.held.apply(builders.batch(4, builders.routing(5, 7)), 0.0)
-        sent = self.held.since(0, 0.0)
+        sent = self.held.since(feed.Position(), 0.0)
         data = msgspec.msgpack.encode(sent)
         self.assertEqual(sent, msgspec.msgpack.decode(data, type=feed.Batch))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,7 +98,9 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(change)
                 started = trio.current_time()
-                batch = (await client.watch(revision, 5.0)).ok.batch
+                batch = (
+                    await client.watch(feed.Position(0, revision), 5.0)
+                ).ok.batch
             self.assertLess(trio.current_time() - started, 1.0)
             self.assertEqual(
                 [("servers/i-1", True)],
@@ -110,7 +112,9 @@
 
     def test_nothing_new_is_an_empty_batch(self):
         async def check(standin, client):
-            result = await client.watch(standin.revision, 0.05)
+            result = await client.watch(
+                feed.Position(0, standin.revision), 0.05
+            )
             self.assertEqual((), result.ok.batch.items)
 
         run(check)
@@ -119,7 +123,90 @@
         async def check(standin, client):
             standin.put_json("servers/i-1", builders.entry())
             standin.compact()
-            result = await client.watch(1, 0.05)
-            self.assertEqual(feed.HistoryGone(1), result.error)
+            after = feed.Position(0, 1)
+            result = await client.watch(after, 0.05)
+            self.assertEqual(feed.HistoryGone(after), result.error)
+
+        run(check)
+
+
+class EpochTest(testtools.TestCase):
+    """The store comes back from a copy and gives revisions out again."""
+
+    def test_an_answer_tells_the_epoch(self):
+        async def check(standin, client):
+            standin.epoch = 4
+            standin.put_json("servers/i-1", builders.entry())
+            batch = (await client.read()).ok.batch
+            self.assertEqual((4, standin.revision), batch.position)
+            found = (await client.watch(batch.position, 0.05)).ok.batch
+            self.assertEqual(batch.position, found.position)
+
+        run(check)
+
+    def test_a_watch_that_gets_events_as_if_nothing_had_happened(self):
+        async def check(standin, client):
+            standin.epoch = 4
+            copy = standin.copy()
+            standin.put_json("servers/i-1", builders.entry())
+            position = (await client.read()).ok.batch.position
+            standin.restore(copy)
+            standin.put_json("servers/i-2", builders.entry())
+            standin.put_json("servers/i-3", builders.entry())
+            result = await client.watch(position, 0.5)
+            self.assertEqual(feed.HistoryGone(position), result.error)
+            batch = (await client.read()).ok.batch
+            self.assertEqual(5, batch.epoch)
+
+        run(check)
+
+    def test_a_watch_from_a_revision_that_the_copy_lacks(self):
+        async def check(standin, client):
+            standin.epoch = 4
+            copy = standin.copy()
+            standin.put_json("servers/i-1", builders.entry())
+            position = (await client.read()).ok.batch.position
+            standin.restore(copy)
+            result = await client.watch(position, 0.05)
+            self.assertEqual(feed.HistoryGone(position), result.error)
+
+        run(check)
+
+    def test_pages_read_across_a_change_are_thrown_away(self):
+        async def check(standin, client):
+            standin.epoch = 4
+            copy = standin.copy()
+            for number in range(users_store.PAGE_SIZE + 5):
+                standin.put_json(f"servers/i-{number:03d}", builders.entry())
+            answer = standin._range
+            pages = []
+
+            def range_then_restore(query):
+                pages.append(query.get("after"))
+                if len(pages) == 2:
+                    standin.restore(copy)
+                    standin.put_json("servers/i-x", builders.entry())
+                return answer(query)
+
+            standin._range = range_then_restore
+            batch = (await client.read()).ok.batch
+            self.assertEqual(5, batch.epoch)
+            self.assertEqual(["servers/i-x"], [e.key for e in batch.items])
+
+        run(check)
+
+    def test_an_epoch_that_can_not_be_true_is_a_fault(self):
+        async def check(standin, client):
+            standin.epoch = 7
+            self.assertTrue((await client.read()).is_ok())
+            for epoch in ("", "x", "-1", "9" * 40, "90000", None):
+                standin.epoch = epoch
+                result = await client.read()
+                self.assertIsInstance(result.error, interfaces.BadAnswer)
+            standin.epoch = 6
+            result = await client.read()
+            self.assertEqual((6, 7), result.error[1:])
+            standin.epoch = 8
+            self.assertTrue((await client.read()).is_ok())
 
         run(check)
