Choose instances by the chance that a request succeeds there

Cause: timers held instances suspect after single errors, which are ordinary in four cases of five just after a good answer, and trusted them again untried.

A belief takes their place: two hidden states, well or in a spell, with rates learned from the answers that the VMs of a domain tell each other; a broken path is believed apart. The choice compares chance, crossing, another VM's lead, nearly full instances and waiting as costs in lost requests; what may be repeated pays for a failure as the retry budget runs out. In trouble the operator's share of the instances that have not just failed stays in use, and an instance that joins gets a request.

--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -11,6 +11,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import balance
+from primrosemill.decisions import coverage
 from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
@@ -20,6 +21,11 @@
 # A large body waits for an instance of the own failure domain this long, as
 # a share of its route's target; then it crosses.
 LOCAL_PATIENCE = 0.2
+# What a wait for a better instance costs a request, in lost requests: little
+# at once, and as much as a late answer is worth less once it is late.
+FIRST_WAIT_COST = 0.05
+LATE_COST = 0.7
+COST_STEP = 0.05  # so that many who wait ask for the same
 # Callers that were refused until a pause ends come back over so long.
 RETURN_SPREAD = 0.5  # seconds
 
@@ -52,9 +58,12 @@
         domain: str,
         generator: random.Random,
         now: float,
-        floor_share: float = balance.FLOOR_SHARE,
+        floor_share: float = coverage.FLOOR_SHARE,
+        crossing_cost: float = balance.CROSSING_COST,
     ) -> None:
-        self.balance = balance.Balance(domain, generator, floor_share)
+        self.balance = balance.Balance(
+            domain, generator, floor_share, crossing_cost
+        )
         self._generator = generator
         self.times = usual_times.UsualTimes()
         self._line = waiting_line.WaitingLine()
@@ -80,7 +89,7 @@
         if refused is not None:
             return refused
         if not self._line:
-            need = self._lasting_need(wish, now)
+            need = self._patient_need(wish, 0, now)
             instance = self.balance.choose(need, now)
             if instance is not None:
                 return Granted(instance)
@@ -95,7 +104,8 @@
         drain_rate = self.drain_rate(now)
         refused = self._line.join(waiter, now, drain_rate)
         if refused is not None:
-            return refused
+            instance = self._last_resort(wish, now)
+            return refused if instance is None else Granted(instance)
         self._wishes_by_ticket[waiter.ticket] = wish
         estimate = self._line.estimate_wait(waiter, now, drain_rate)
         return Waiting(waiter.ticket, estimate)
@@ -155,23 +165,28 @@
     def wake(self, now: float) -> list[Wakeup]:
         """Grant free slots in order, and refuse whom none can serve."""
         wakeups = []
+        ahead = 0
         unmet: set[balance.Need] = set()
         for waiter in self._line.in_order(now):
             wish = self._wishes_by_ticket[waiter.ticket]
-            need = self._lasting_need(wish, now)
-            if need in unmet:
-                continue
-            instance = self.balance.choose(need, now)
+            need = self._patient_need(wish, ahead, now)
+            instance = None
+            if need not in unmet:
+                instance = self.balance.choose(need, now)
             if instance is None:
                 unmet.add(need)
+                ahead += 1
                 continue
             self.leave(waiter.ticket)
             wakeups.append(Wakeup(waiter.ticket, Granted(instance)))
         drain_rate = self.drain_rate(now)
         for waiter in self._line.hopeless(now, drain_rate):
-            del self._wishes_by_ticket[waiter.ticket]
-            refused = self._refuse(outcomes.RefusalReason.DEADLINE, now)
-            wakeups.append(Wakeup(waiter.ticket, refused))
+            wish = self._wishes_by_ticket.pop(waiter.ticket)
+            instance = self._last_resort(wish, now)
+            told = self._refuse(outcomes.RefusalReason.DEADLINE, now)
+            if instance is not None:
+                told = Granted(instance)
+            wakeups.append(Wakeup(waiter.ticket, told))
         return wakeups + self._refuse_paused(now)
 
     def _refuse_paused(self, now: float) -> list[Wakeup]:
@@ -215,12 +230,41 @@
 
     def _need(self, wish: dispatch.Wish, now: float) -> balance.Need:
         route = wish.route
+        waited = now - wish.arrived
         local = False
         if route.large_bodies and wish.only is None:
             patience = LOCAL_PATIENCE * route.patience
-            waited = now - wish.arrived
             local = waited < patience and self.balance.has_local(now)
-        return balance.Need(wish.idempotent, wish.excluded, wish.only, local)
+        return balance.Need(
+            wish.idempotent,
+            wish.excluded,
+            wish.only,
+            local,
+            repeat_cost=_step(wish.repeat_cost),
+        )
+
+    def _last_resort(
+        self, wish: dispatch.Wish, now: float
+    ) -> documents.Instance | None:
+        """Take a slot for a request that would be refused otherwise.
+
+        A refusal is true and lets the caller come back, so it is better
+        than an instance that most probably fails.
+        """
+        need = self._lasting_need(wish, now)._replace(wait_cost=LATE_COST)
+        return self.balance.choose(need, now)
+
+    def _patient_need(
+        self, wish: dispatch.Wish, ahead: int, now: float
+    ) -> balance.Need:
+        """Return what a request asks for with ``ahead`` others before it."""
+        waits = now - wish.arrived
+        drain_rate = self.drain_rate(now)
+        if drain_rate:
+            waits += (ahead + 1) / drain_rate
+        cost = _wait_cost(waits, wish.route.patience)
+        need = self._lasting_need(wish, now)
+        return need._replace(wait_cost=_step(cost))
 
     def _lasting_need(self, wish: dispatch.Wish, now: float) -> balance.Need:
         """Return what a request asks for that waits until it is served.
@@ -232,3 +276,14 @@
         if need.excluded and not self.balance.has_candidate(need):
             return need._replace(excluded=frozenset())
         return need
+
+
+def _wait_cost(waits: float, patience: float) -> float:
+    """Return what it costs a request to wait so long from its arrival."""
+    share = min(1.0, waits / patience) if patience > 0.0 else 1.0
+    return FIRST_WAIT_COST + share * (LATE_COST - FIRST_WAIT_COST)
+
+
+def _step(cost: float) -> float:
+    """Round a cost, so that many who wait ask for the same."""
+    return COST_STEP * round(cost / COST_STEP)
--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -1,13 +1,10 @@
 """Chooses the instance that gets the next request of one service.
 
-An instance is used while it has a slot to spare, counted from this VM's own
-requests and from the load that the instance told in its last answer. That
-load fades: to nothing where this VM leads the instance, else to what others
-usually hold at such instances. Among those with a slot, trusted instances
-go before suspect ones, then those of the VM's own failure domain, then those
-that this VM leads. A request that must not be repeated prefers an instance
-that has just answered well, any other one the instance that has not been
-heard of for longest; then the least loaded goes.
+An instance is used while it has a slot to spare. Among those with one, the
+request goes where most is to be expected: the chance that it succeeds there,
+less what a failure, a crossing to another failure domain, a slot of an
+instance that another VM leads, and a nearly full instance cost. Waiting for a
+better instance is one of the choices. docs/design/balancing.md.
 """
 
 import enum
@@ -17,34 +14,32 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import announcements
-from primrosemill.decisions import avoidance
+from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import coverage
+from primrosemill.decisions import dispatch
+from primrosemill.decisions import holdings
 from primrosemill.decisions import usual_times
 
-# A told load stands for what other VMs do there; it fades in this time, as
-# most requests that were counted have ended by then.
-LOAD_LIFETIME = 0.4  # seconds
 SHED_PAUSE = 0.1  # seconds that an instance which shed gets no request
 COLD_PENALTY = 1.0  # requests that a cold instance counts as holding
 STALL_FACTOR = 4.0  # times the usual time after which no answer is a sign
 LEAST_STALL = 0.4  # seconds; shorter delays are common on a busy network
-EVIDENCE_STEP = 0.5  # seconds; good answers closer than that are equal
 OTHERS_WEIGHT = 0.05  # of the latest told load in the usual one
-# Slots of an instance that a VM uses at a time while another VM leads it and
-# others are there, too; docs/design/balancing.
-BORROWED_SLOTS = 1
-# Failures from which on a spell is certain; one fades below its full weight.
-CONFIRMED_FAILURES = 1.5
-PART_LOAD = 0.5  # requests; a faded load below it counts as none
-FLOOR_SHARE = 0.7  # of the instances that stay usable whatever is suspected
-TRUSTED = avoidance.Trust.TRUSTED
-
-
-class Load(typing.NamedTuple):
-    """What an instance told of itself: requests, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
+# Of the chance of an instance that holds a request for far too long: it may
+# only be slow, and the deadline tells.
+STALLED_CHANCE = 0.2
+
+# Costs are in lost requests: 1 is a request that fails for good.
+# Bytes that cross are priced and use the links between domains; the default
+# of the setting.
+CROSSING_COST = 0.15
+# Another VM fills the instance and knows its load better.
+BORROWING_COST = 0.02
+# At an instance whose slots are all taken; it grows with the square, as
+# instances slow down and shed when they are nearly full.
+FULL_COST = 0.03
+# Values closer than this are equal, and chance decides.
+TIE = 0.002
 
 
 class Need(typing.NamedTuple):
@@ -52,28 +47,30 @@
 
     ``excluded`` are the instances that it has tried; ``only`` names those
     that it may still be sent to, or is None for all. ``local`` keeps it in
-    the VM's own failure domain, as its body is large.
+    the VM's own failure domain, as its body is large. ``wait_cost`` is what
+    a short wait for a better instance costs it, ``repeat_cost`` what another
+    attempt costs.
     """
 
     idempotent: bool
     excluded: frozenset[str] = frozenset()
     only: frozenset[str] | None = None
     local: bool = False
+    wait_cost: float = math.inf
+    repeat_cost: float = dispatch.REPEAT_COST
 
     @property
-    def explores(self) -> bool:
-        """Tell whether the request may find out how an instance is.
+    def may_fail_once(self) -> bool:
+        """Tell whether another attempt may follow where the next one fails.
 
-        One that has failed before may be on its last attempt, so it goes
-        where all was well, as one does that must not be repeated.
+        One that has failed before may be on its last attempt.
         """
         return self.idempotent and not self.excluded and self.only is None
 
-
-# How willingly an instance gets a request: by trust, then those of the own
-# domain, then those that this VM leads.
-Place = tuple[float, bool, bool]
-NO_PLACE: Place = (math.inf, True, True)
+    @property
+    def failure_cost(self) -> float:
+        """Return what is lost where its next attempt fails."""
+        return self.repeat_cost if self.may_fail_once else 1.0
 
 
 class Crossing(enum.StrEnum):
@@ -84,46 +81,14 @@
     FULL = "full"  # Those that are trusted had no room, or were tried.
 
 
-class _Use:
-    """What this VM knows and does with one instance."""
-
-    __slots__ = (
-        "cold_until",
-        "instance",
-        "leaving",
-        "other_lead",
-        "others",
-        "others_at",
-        "paused_until",
-        "remote",
-        "room",
-        "starts",
-        "well_at",
-    )
-
-    def __init__(self, instance: documents.Instance, now: float) -> None:
-        self.instance = instance
-        self.leaving = False
-        self.room = 0.0
-        self.remote = False
-        self.other_lead = True
-        self.others = 0.0
-        self.others_at = now
-        self.paused_until = 0.0
-        self.cold_until = now + instance.cold_for
-        self.starts: list[float] = []
-        self.well_at = now
-
-    def occupied(self, now: float, usual: float) -> float:
-        """Return the requests that the instance probably holds.
-
-        What it told of others fades into ``usual``, what such an instance
-        usually holds of them.
-        """
-        fade = 1.0 - (now - self.others_at) / LOAD_LIFETIME
-        if fade <= 0.0:
-            return len(self.starts) + usual
-        return len(self.starts) + usual + (self.others - usual) * fade
+class _Found(typing.NamedTuple):
+    """The best instance so far, and what is to be expected of it."""
+
+    holding: holdings.Holding | None
+    value: float
+
+
+_NONE_FOUND = _Found(None, -math.inf)
 
 
 class Balance:
@@ -133,20 +98,22 @@
         self,
         domain: str,
         generator: random.Random,
-        floor_share: float = FLOOR_SHARE,
+        floor_share: float = coverage.FLOOR_SHARE,
+        crossing_cost: float = CROSSING_COST,
     ) -> None:
-        self.avoidance = avoidance.Avoidance()
+        self.belief = beliefs.Belief()
+        self.coverage = coverage.Coverage(floor_share)
         self.announcements = announcements.Announcements()
-        self._floor_share = floor_share
+        self._crossing_cost = crossing_cost
         self.usual_time = usual_times.FIRST_GUESS
         self._domain = domain
         self._generator = generator
-        self._uses_by_id: dict[str, _Use] = {}
+        self._uses_by_id: dict[str, holdings.Holding] = {}
         # The same, for a choice that need not look at all of them: those of
         # the own domain, the others, and those with requests of this VM.
-        self._local: list[_Use] = []
-        self._remote: list[_Use] = []
-        self._busy_by_id: dict[str, _Use] = {}
+        self._local: list[holdings.Holding] = []
+        self._remote: list[holdings.Holding] = []
+        self._busy_by_id: dict[str, holdings.Holding] = {}
         self._led_ids: frozenset[str] = frozenset()
         self._usual_others = 0.0
 
@@ -170,7 +137,8 @@
         for use in self._local:
             if use.leaving:
                 continue
-            if self.avoidance.trust(use.instance.id, now) is TRUSTED:
+            trust = self.belief.trust(use.instance.id, now)
+            if trust is beliefs.Trust.TRUSTED:
                 return True
         return False
 
@@ -183,13 +151,13 @@
         for instance in instances:
             use = before_by_id.get(instance.id)
             if use is None or use.instance.boot != instance.boot:
-                use = _Use(instance, now)
-                self.avoidance.forget(instance.id)
+                use = holdings.Holding(instance, now)
+                self.belief.forget(instance.id)
             use.instance = instance
             use.leaving = self.announcements.is_leaving(instance)
             pause_end = self.announcements.pause_end(instance)
             use.paused_until = max(use.paused_until, pause_end)
-            use.room = instance.slots + PART_LOAD
+            use.room = instance.slots + holdings.PART_LOAD
             use.remote = instance.domain != self._domain
             use.other_lead = instance.id not in self._led_ids
             self._uses_by_id[instance.id] = use
@@ -197,7 +165,7 @@
         self._local = [use for use in uses if not use.remote]
         self._remote = [use for use in uses if use.remote]
         self._busy_by_id = {use.instance.id: use for use in uses if use.starts}
-        self.avoidance.keep(self._uses_by_id)
+        self.belief.keep(self._uses_by_id)
         self.announcements.keep([use.instance for use in uses], now)
 
     def set_led(self, led_ids: frozenset[str]) -> None:
@@ -209,49 +177,89 @@
             use.other_lead = instance_id not in led_ids
 
     def choose(self, need: Need, now: float) -> documents.Instance | None:
-        """Take a slot of the best instance, or None if all are full."""
-        trust_by_id = self._suspects(now)
-        best, place = self._best_of(
-            self._local, need, now, trust_by_id, NO_PLACE
-        )
-        if place[0] > TRUSTED:
-            # No other domain's instance goes before a trusted one at home.
-            found, _ = self._best_of(
-                self._remote, need, now, trust_by_id, place
-            )
-            best = found or best
-        if best is None:
+        """Take a slot of the best instance.
+
+        Returns None where none has room, or a better one than those that
+        have some is worth waiting for.
+        """
+        due_id = self.coverage.due(self._local, self.belief, now)
+        best = self._best_of(self._local, need, now, due_id, _NONE_FOUND)
+        if best.value < -self._crossing_cost and not need.local:
+            best = self._best_of(self._remote, need, now, None, best)
+        if best.holding is None:
+            return None
+        chosen = best.holding
+        saved = need.wait_cost
+        if need.may_fail_once:
+            # An attempt that fails saves no wait.
+            saved *= self.belief.chance(chosen.instance.id, now)
+        wanted = best.value + saved
+        if wanted < 0.0 and self._has_better(need, wanted, now):
             return None
-        best.starts.append(now)
-        self._busy_by_id[best.instance.id] = best
-        return best.instance
+        chosen.starts.append(now)
+        chosen.tried = True
+        self._busy_by_id[chosen.instance.id] = chosen
+        return chosen.instance
 
     def _best_of(
         self,
-        uses: list[_Use],
+        uses: list[holdings.Holding],
         need: Need,
         now: float,
-        trust_by_id: dict[str, avoidance.Trust],
-        best_place: Place,
-    ) -> tuple[_Use | None, Place]:
-        """Return the best instance in a place at least as good, if any."""
-        best: _Use | None = None
-        best_rank: tuple[float, ...] = (math.inf,)
+        due_id: str | None,
+        best: _Found,
+    ) -> _Found:
+        """Return the best instance with room, if better than ``best``."""
         for use in uses:
-            occupied = self._held_unless_full(use, now)
-            if occupied is None or now < use.paused_until:
+            if now < use.paused_until or not self._may_get(use, need):
                 continue
-            trust = trust_by_id.get(use.instance.id, TRUSTED)
-            if not self._may_get(use, need, trust):
+            usual = self._usual_of(use)
+            occupied = use.occupied(now, usual)
+            if not use.has_room(occupied, usual):
                 continue
-            standing = _standing(trust, need.explores and not use.remote)
-            place = (standing, use.remote, use.other_lead)
-            if place > best_place:
+            value = self._value(use, need, occupied, now)
+            if use.instance.id == due_id:
+                value = 0.0
+            value -= TIE * self._generator.random()
+            if value > best.value:
+                best = _Found(use, value)
+        return best
+
+    def _has_better(self, need: Need, wanted: float, now: float) -> bool:
+        """Tell whether an instance without room is worth more than that."""
+        for use in self._uses_by_id.values():
+            if now < use.paused_until or not self._may_get(use, need):
                 continue
-            rank = self._rank(use, need, trust, occupied, now)
-            if place < best_place or rank < best_rank:
-                best, best_place, best_rank = use, place, rank
-        return best, best_place
+            occupied = float(use.instance.slots)
+            if self._value(use, need, occupied, now) > wanted:
+                return True
+        return False
+
+    def _value(
+        self,
+        use: holdings.Holding,
+        need: Need,
+        occupied: float,
+        now: float,
+    ) -> float:
+        """Return what is to be expected, as a negative cost."""
+        chance = self.belief.chance(use.instance.id, now)
+        if use.starts and self._is_stalled(use, now):
+            chance *= STALLED_CHANCE
+        cost = (1.0 - chance) * need.failure_cost
+        if use.remote:
+            cost += self._crossing_cost
+        elif use.other_lead:
+            cost += BORROWING_COST
+        if now < use.cold_until:
+            occupied += COLD_PENALTY
+        fill = occupied / max(1, use.instance.slots)
+        return -cost - FULL_COST * fill * fill
+
+    def _is_stalled(self, use: holdings.Holding, now: float) -> bool:
+        """Tell whether an instance holds a request for far too long."""
+        limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
+        return now - use.starts[0] > limit
 
     def crossing(self, instance_id: str, now: float) -> Crossing | None:
         """Return why a request was sent to an instance of another domain.
@@ -261,12 +269,12 @@
         chosen = self._uses_by_id.get(instance_id)
         if chosen is None or not chosen.remote:
             return None
-        trust_by_id = self._suspects(now)
         found = Crossing.NONE_LOCAL
         for use in self._local:
             if use.leaving:
                 continue
-            if use.instance.id not in trust_by_id:
+            trust = self.belief.trust(use.instance.id, now)
+            if trust is beliefs.Trust.TRUSTED:
                 return Crossing.FULL
             found = Crossing.SUSPECT
         return found
@@ -284,7 +292,9 @@
         if not use.starts:
             self._busy_by_id.pop(instance_id, None)
 
-    def note_load(self, instance_id: str, load: Load, now: float) -> None:
+    def note_load(
+        self, instance_id: str, load: holdings.Load, now: float
+    ) -> None:
         """Take what an instance told with an answer.
 
         It counts the request that it answers, whose slot was given back.
@@ -292,20 +302,11 @@
         use = self._uses_by_id.get(instance_id)
         if use is None:
             return
-        own = len(use.starts)
-        told = load.running + load.waiting - 1
-        use.others = float(max(0, told - own))
-        use.others_at = now
+        use.take_load(load, now)
         if use.other_lead:
             surplus = use.others - self._usual_others
             self._usual_others += OTHERS_WEIGHT * surplus
 
-    def note_well(self, instance_id: str, started: float) -> None:
-        """Note that a request that started then was answered well."""
-        use = self._uses_by_id.get(instance_id)
-        if use is not None:
-            use.well_at = max(use.well_at, started)
-
     def note_shed(self, instance_id: str, now: float) -> None:
         """Leave an instance alone for a moment that was full."""
         use = self._uses_by_id.get(instance_id)
@@ -365,101 +366,21 @@
         """Return when a choice may succeed without a release."""
         return now + SHED_PAUSE / 4
 
-    def _held_unless_full(self, use: _Use, now: float) -> float | None:
-        """Return the requests an instance probably holds; None if full.
+    def _usual_of(self, use: holdings.Holding) -> float:
+        """Return what others usually hold at an instance.
 
-        At an instance that another VM leads, this one borrows few slots, as
-        all others may do so at the same time. One request may wait there:
-        that costs less than to wait for an own instance to come back.
+        Only what it has just told closes it: what is usual leaves room, or
+        it would never be seen to fall.
         """
-        usual = self._usual_others if use.other_lead else 0.0
-        # Only what an instance has just told closes it: what is usual leaves
-        # room, or it would never be seen to fall.
-        usual = min(usual, use.instance.slots)
-        occupied = use.occupied(now, usual)
-        if usual <= PART_LOAD:
-            return occupied if occupied + 1.0 <= use.room else None
-        if len(use.starts) >= BORROWED_SLOTS or occupied > use.room:
-            return None
-        return occupied
-
-    def _suspects(self, now: float) -> dict[str, avoidance.Trust]:
-        """Return the instances that are not trusted, with the floor kept.
+        if not use.other_lead:
+            return 0.0
+        return min(self._usual_others, use.instance.slots)
 
-        An instance that holds a request for far too long is avoided, too.
-        The operator's share of the instances stays usable: where more are
-        suspect, the least suspect ones are used after all others.
-        """
-        trust_by_id = self.avoidance.suspects(now)
-        limit = max(LEAST_STALL, STALL_FACTOR * self.usual_time)
-        for instance_id, use in self._busy_by_id.items():
-            if now - use.starts[0] > limit:
-                trust_by_id[instance_id] = avoidance.Trust.AVOIDED
-        avoided = [
-            instance_id
-            for instance_id, trust in trust_by_id.items()
-            if trust is avoidance.Trust.AVOIDED
-        ]
-        allowed = int((1.0 - self._floor_share) * len(self._uses_by_id))
-        if len(avoided) > allowed:
-            avoided.sort(key=self.avoidance.failures)
-            for instance_id in avoided[: len(avoided) - allowed]:
-                trust_by_id[instance_id] = avoidance.Trust.LAST
-        return trust_by_id
-
-    def _may_get(self, use: _Use, need: Need, trust: avoidance.Trust) -> bool:
+    def _may_get(self, use: holdings.Holding, need: Need) -> bool:
         """Tell whether an instance with a free slot may get a request."""
         instance = use.instance
         if use.leaving or instance.id in need.excluded:
             return False
         if need.only is not None and instance.id not in need.only:
             return False
-        if need.local and use.remote:
-            return False
-        if trust is avoidance.Trust.ON_TRIAL and use.starts:
-            # One request at a time tries it.
-            return False
-        if trust is avoidance.Trust.AVOIDED:
-            return self._may_try(use, need)
-        return True
-
-    def _may_try(self, use: _Use, need: Need) -> bool:
-        """Tell whether a request may try an instance that is avoided.
-
-        A single failure is an ordinary one as often as not, so what may be
-        repeated tries the instance, one at a time, before it waits.
-        """
-        if not need.idempotent or use.starts:
-            return False
-        return self.avoidance.failures(use.instance.id) < CONFIRMED_FAILURES
-
-    def _rank(
-        self,
-        use: _Use,
-        need: Need,
-        trust: avoidance.Trust,
-        occupied: float,
-        now: float,
-    ) -> tuple[float, ...]:
-        """Return the order among instances in the same place."""
-        if now < use.cold_until:
-            occupied += COLD_PENALTY
-        age = (now - use.well_at) // EVIDENCE_STEP
-        if trust is avoidance.Trust.LAST:
-            # The least suspect ones first, whoever asks.
-            failures = self.avoidance.failures(use.instance.id)
-            return (failures, occupied, self._generator.random())
-        return (
-            # What may be repeated finds out about instances that have been
-            # quiet; what may not goes where all was well lately.
-            -age if need.explores else age,
-            occupied / max(1, use.instance.slots),
-            self._generator.random(),
-        )
-
-
-def _standing(trust: avoidance.Trust, may_try: bool) -> float:
-    """Return the order by trust; trials go first where they do no harm."""
-    if trust is avoidance.Trust.ON_TRIAL and may_try:
-        return -1.0
-    return float(trust)
+        return not (need.local and use.remote)
--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -12,6 +12,10 @@
 from primrosemill.decisions import pool
 from primrosemill.decisions import queue
 
+# What another attempt of a repeatable request costs while the retry budget is
+# full, in lost requests: a moment, and its part of a budget that holds about
+# a fifth of all requests.
+REPEAT_COST = 0.3
 TRIES = 8  # waiters looked at for a slot that the first can not use
 
 
@@ -20,6 +24,7 @@
 
     ``only`` names the instances that it may still be sent to; None stands
     for all. ``route`` is the one that it came by, ``arrived`` when.
+    ``repeat_cost`` is what another attempt would cost, in lost requests.
     """
 
     caller: str
@@ -30,6 +35,7 @@
     route: documents.Route | None = None
     arrived: float = 0.0
     request_id: str = ""
+    repeat_cost: float = REPEAT_COST
 
 
 class Granted(typing.NamedTuple):
--- a/packages/decisions/src/primrosemill/decisions/entry_points.py
+++ b/packages/decisions/src/primrosemill/decisions/entry_points.py
@@ -18,10 +18,12 @@
 LEAST_ENTRY_POINTS = 2  # in a failure domain, so that one may fail
 SLOTS_PER_POINT = 18.0  # slots of instances that one VM keeps busy with ease
 
-
 # VMs that are told of news on one instance: the entry points of 300 VMs fit,
 # and beyond that the cost of a message does not grow with the fleet.
 MOST_TOLD = 48
+# VMs of the own domain that are told of good answers; entry points go first,
+# as most requests come to them.
+MOST_TOLD_AT_HOME = 12
 
 
 class View(typing.NamedTuple):
@@ -65,6 +67,14 @@
     return tuple(ids)[:MOST_TOLD]
 
 
+def told_at_home_ids(view: View, own: home_vms.Vm) -> tuple[str, ...]:
+    """Return the VMs of the own domain that hear of good answers."""
+    found = list(entry_points(view, own.domain))
+    found += [vm for vm in view.vms if vm.domain == own.domain]
+    ids = dict.fromkeys(vm.id for vm in found if vm != own)
+    return tuple(ids)[:MOST_TOLD_AT_HOME]
+
+
 def led_ids(
     own: home_vms.Vm,
     points: typing.Sequence[home_vms.Vm],
--- a/packages/decisions/src/primrosemill/decisions/retry_budget.py
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -30,6 +30,11 @@
         """Return the attempts that may still be spent."""
         return self._tokens
 
+    @property
+    def spent_share(self) -> float:
+        """Return the share of the reserve that is spent, from 0 to 1."""
+        return 1.0 - self._tokens / self.reserve if self.reserve else 1.0
+
     def earn(self) -> None:
         """Count a request."""
         self._tokens = min(self.reserve, self._tokens + self.share)
--- /dev/null
+++ b/packages/measure/src/primrosemill/measure/load_ways.py
@@ -0,0 +1,119 @@
+"""Holds the ways of choosing an instance that the load patterns compare."""
+
+import random
+import typing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import allocation
+from primrosemill.decisions import balance
+from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import holdings
+from primrosemill.measure import load_play
+
+
+class _OwnRoom(balance.Balance):
+    """Chooses among the instances with room by this VM's own counts."""
+
+    def choose(
+        self, need: balance.Need, now: float
+    ) -> documents.Instance | None:
+        """Take a slot of the instance that the way picks."""
+        free = [
+            use
+            for use in self._uses_by_id.values()
+            if now >= use.paused_until
+            and self._may_get(use, need)
+            and len(use.starts) < use.instance.slots
+        ]
+        if not free:
+            return None
+        chosen = self.pick(free)
+        chosen.starts.append(now)
+        self._busy_by_id[chosen.instance.id] = chosen
+        return chosen.instance
+
+    def pick(self, free: list[holdings.Holding]) -> holdings.Holding:
+        """Return the instance to use."""
+        raise NotImplementedError
+
+
+class RoundRobin(_OwnRoom):
+    """Takes the instances in turn."""
+
+    _turn = 0
+
+    def pick(self, free: list[holdings.Holding]) -> holdings.Holding:
+        """Return the next instance."""
+        self._turn += 1
+        return free[self._turn % len(free)]
+
+
+class TwoChoices(_OwnRoom):
+    """Takes the less loaded of two (Mitzenmacher, 2001)."""
+
+    def pick(self, free: list[holdings.Holding]) -> holdings.Holding:
+        """Return the less loaded of two instances at random."""
+        pair = self._generator.choices(free, k=2)
+        return min(pair, key=lambda use: len(use.starts))
+
+
+class _Truth(beliefs.Belief):
+    """Knows each spell and loss from its start, and nothing else."""
+
+    def __init__(self, play: load_play.Play) -> None:
+        super().__init__()
+        self._play = play
+
+    def chance(self, instance_id: str, now: float) -> float:
+        """Return the true probability of success."""
+        instance = self._play.instances_by_id[instance_id]
+        spells = self._play.pattern.spells
+        for spans in (instance.lost, instance.silent):
+            if load_play.covers(spans, now):
+                return 0.0
+        if load_play.covers(instance.spells, now):
+            return 1.0 - spells.fails
+        return 1.0 - spells.ordinary
+
+
+def _allocation_of(play: load_play.Play, domain: str) -> allocation.Allocation:
+    generator = random.Random(play.generator.random())
+    return allocation.Allocation(domain, generator, 0.0)
+
+
+def make_current(play: load_play.Play, domain: str) -> allocation.Allocation:
+    """Return the product's own decisions."""
+    return _allocation_of(play, domain)
+
+
+def make_oracle(play: load_play.Play, domain: str) -> allocation.Allocation:
+    """Return the product's choice with the truth in place of a belief."""
+    made = _allocation_of(play, domain)
+    made.balance.belief = _Truth(play)
+    return made
+
+
+def make_round_robin(
+    play: load_play.Play, domain: str
+) -> allocation.Allocation:
+    """Return decisions that take the instances in turn."""
+    made = _allocation_of(play, domain)
+    made.balance = RoundRobin(domain, play.generator)
+    return made
+
+
+def make_two_choices(
+    play: load_play.Play, domain: str
+) -> allocation.Allocation:
+    """Return decisions that take the less loaded of two instances."""
+    made = _allocation_of(play, domain)
+    made.balance = TwoChoices(domain, play.generator)
+    return made
+
+
+WAYS_BY_NAME: typing.Mapping[str, load_play.Make] = {
+    "belief": make_current,
+    "round robin": make_round_robin,
+    "two choices": make_two_choices,
+    "oracle": make_oracle,
+}
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -11,7 +11,7 @@
 import trio
 
 from primrosemill.configuration import document as documents
-from primrosemill.decisions import balance
+from primrosemill.decisions import holdings
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
 from primrosemill.proxy import connections
@@ -94,7 +94,7 @@
         self._reused = False
         self.maybe_ran = False
         self.draining = False
-        self.load: balance.Load | None = None
+        self.load: holdings.Load | None = None
         self.pause: dialects.Pause | None = None
         self._idle_time: float | None = None
 
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -1,22 +1,26 @@
 """Carries requests to the balance of each service, and outcomes back.
 
 The decisions are in :mod:`primrosemill.decisions.allocation` and
-:mod:`primrosemill.decisions.avoidance`; here each grant goes to the task that
-waits for it, and what an attempt met changes the trust in its instance.
+:mod:`primrosemill.decisions.belief`; here each grant goes to the task that
+waits for it, and what an attempt met changes what is believed of its instance.
 """
 
 import random
+import typing
 
 import trio
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import allocation
-from primrosemill.decisions import avoidance
 from primrosemill.decisions import balance
+from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import coverage
 from primrosemill.decisions import dispatch
+from primrosemill.decisions import outcomes
 from primrosemill.decisions import pool
 from primrosemill.decisions import standings
 from primrosemill.decisions import waiting_line
+from primrosemill.fleet import messages
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import judgements
 from primrosemill.proxy import learned
@@ -25,12 +29,25 @@
 from primrosemill.telemetry import events
 
 STATES_BY_TRUST = {
-    avoidance.Trust.TRUSTED: standings.State.IN_ROTATION,
-    avoidance.Trust.ON_TRIAL: standings.State.TRIAL,
-    avoidance.Trust.LAST: standings.State.RANKED_LAST,
-    avoidance.Trust.AVOIDED: standings.State.AVOIDED,
+    beliefs.Trust.TRUSTED: standings.State.IN_ROTATION,
+    beliefs.Trust.DOUBTED: standings.State.RANKED_LAST,
+    beliefs.Trust.AVOIDED: standings.State.AVOIDED,
 }
 
+SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
+SLOW = "slow"  # The cause where answers are good, but late.
+MILLISECONDS = 1_000
+
+
+class Costs(typing.NamedTuple):
+    """What the operator sets of the choice; see the settings page."""
+
+    floor_share: float
+    crossing_cost: float
+
+
+DEFAULT_COSTS = Costs(coverage.FLOOR_SHARE, balance.CROSSING_COST)
+
 
 class Balancer:
     """Carries requests for one service to its allocation.
@@ -44,11 +61,11 @@
         domain: str,
         generator: random.Random,
         alarm: alarms.Alarm,
-        floor_share: float = balance.FLOOR_SHARE,
+        costs: Costs = DEFAULT_COSTS,
     ) -> None:
         self.name = service.name
         self.allocation = allocation.Allocation(
-            domain, generator, trio.current_time(), floor_share
+            domain, generator, trio.current_time(), *costs
         )
         self._alarm = alarm
         self._waiters_by_ticket: dict[int, waiters.Waiter] = {}
@@ -153,10 +170,10 @@
         domain: str,
         generator: random.Random,
         listeners: learned.Listeners,
-        floor_share: float = balance.FLOOR_SHARE,
+        costs: Costs = DEFAULT_COSTS,
     ) -> None:
         self._domain = domain
-        self._floor_share = floor_share
+        self._costs = costs
         self._generator = generator
         self._listeners = listeners
         self._balancers_by_service: dict[str, Balancer] = {}
@@ -166,7 +183,7 @@
     ) -> Balancer:
         """Return a new balancer, as the application asks for one."""
         made = Balancer(
-            service, self._domain, self._generator, alarm, self._floor_share
+            service, self._domain, self._generator, alarm, self._costs
         )
         self._balancers_by_service[service.name] = made
         return made
@@ -177,27 +194,32 @@
         if balancer is not None:
             balancer.balance.set_led(led_ids)
 
-    def take_suspicion(
-        self, service: str, instance_id: str, boot: int, seconds: float
-    ) -> None:
-        """Take the word of a peer that an instance has just failed."""
-        balancer = self._balancers_by_service.get(service)
-        if balancer is None:
-            return
-        instance = balancer.balance.instance(instance_id)
-        if instance is None or instance.boot != boot:
-            return
-        verdict = balancer.balance.avoidance.told(
-            instance_id, seconds, trio.current_time()
-        )
-        if verdict is not None:
+    def take_sightings(self, told: messages.Sightings) -> None:
+        """Take what a peer has seen of instances."""
+        now = trio.current_time()
+        for each in told.sightings:
+            balancer = self._balancers_by_service.get(each.service)
+            if balancer is None:
+                continue
+            instance = balancer.balance.instance(each.instance_id)
+            if instance is None or instance.boot != each.boot:
+                continue
+            at = now - each.age / MILLISECONDS
+            belief = balancer.balance.belief
+            failed = each.seen is messages.Seen.FAILED
+            if failed:
+                change = belief.failed(instance.id, at)
+            else:
+                change = belief.succeeded(instance.id, at, now)
             self._listeners.on_change(
                 learned.Changed(
-                    service,
-                    instance.boot,
-                    verdict,
+                    each.service,
+                    instance,
+                    change,
                     learned.PEER,
-                    instance.domain,
+                    failed,
+                    False,
+                    at,
                 )
             )
 
@@ -242,10 +264,10 @@
             return standings.Standing(standings.State.DRAINING)
         if balancer is None:
             return standings.HEALTHY
-        held = balancer.balance.avoidance
-        trust = held.trust(instance.id, trio.current_time())
+        belief = balancer.balance.belief
+        chance = belief.chance(instance.id, trio.current_time())
         return standings.Standing(
-            STATES_BY_TRUST[trust], held.failures(instance.id)
+            STATES_BY_TRUST[beliefs.trust_of(chance)], 1.0 - chance
         )
 
     def due_trial(self, service: str, now: float) -> str | None:
@@ -261,7 +283,7 @@
         crossing = balancer.balance.crossing(start.instance_id, now)
         if crossing is not None:
             self._listeners.on_crossing(crossing)
-        trust = balancer.balance.avoidance.trust(start.instance_id, now)
+        chance = balancer.balance.belief.chance(start.instance_id, now)
         events.emit(
             events.REQUEST_SENT,
             request_id=start.request_id,
@@ -270,7 +292,7 @@
             instance_id=start.instance_id,
             boot=start.boot,
             busy=balancer.balance.busy_at(start.instance_id),
-            trust=trust.name.lower(),
+            chance=round(chance, 3),
             waited=round(now - start.arrived, 4),
         )
 
@@ -299,22 +321,12 @@
             balancer.balance.note_load(instance.id, end.load, now)
         self._take_announcements(balancer, end, now)
         judged = judgements.judge(end.outcome, end)
+        if end.outcome == SHED:
+            balancer.balance.coverage.note(False, now)
         if judged.failed is None:
             return
-        verdict = self._weigh(balancer, end, judged, now)
-        if verdict is not None:
-            cause = judgements.cause(end.outcome)
-            self._listeners.on_change(
-                learned.Changed(
-                    start.service,
-                    start.boot,
-                    verdict,
-                    cause,
-                    instance.domain,
-                    start.request_id,
-                    judged.shared,
-                )
-            )
+        balancer.balance.coverage.note(not judged.failed, now)
+        self._weigh(balancer, instance, end, judged)
         balancer.wake()
 
     def _take_announcements(
@@ -351,18 +363,49 @@
     def _weigh(
         self,
         balancer: Balancer,
+        instance: documents.Instance,
         end: plugs.AttemptEnd,
         judged: judgements.Judgement,
-        now: float,
-    ) -> avoidance.Verdict | None:
-        held = balancer.balance.avoidance
+    ) -> None:
+        """Change what is believed of an instance by an attempt there."""
+        now = trio.current_time()
+        belief = balancer.balance.belief
         start = end.start
-        if judged.failed:
-            return held.failed(start.instance_id, now)
-        ratio = None
+        cause = judgements.cause(end.outcome)
+        failed = judged.failed
+        if not failed and self._is_slow(balancer, end, now):
+            failed, cause = True, SLOW
+        at = now if failed else start.started
+        if failed and judged.failed and not judged.shared:
+            change = belief.no_path(instance.id, now)
+        elif failed:
+            change = belief.failed(instance.id, now)
+        else:
+            belief.reached(instance.id, now)
+            change = belief.succeeded(instance.id, at, now)
+        self._listeners.on_change(
+            learned.Changed(
+                start.service,
+                instance,
+                change,
+                cause,
+                failed,
+                judged.shared or not judged.failed,
+                at,
+                start.request_id,
+            )
+        )
+
+    def _is_slow(
+        self, balancer: Balancer, end: plugs.AttemptEnd, now: float
+    ) -> bool:
+        """Tell whether an instance answers well, but far too slowly."""
         times = balancer.allocation.times
-        if times.known(start.route):
-            ratio = end.elapsed / times.usual(start.route)
-        times.note(start.route, end.elapsed)
-        balancer.balance.note_well(start.instance_id, start.started)
-        return held.succeeded(start.instance_id, ratio, now, start.started)
+        route = end.start.route
+        usual = times.usual(route) if times.known(route) else None
+        times.note(route, end.elapsed)
+        if usual is None:
+            return False
+        return balancer.balance.belief.is_slow(
+            end.start.instance_id, end.elapsed / usual, now
+        )
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -8,7 +8,7 @@
 
 import expression
 
-from primrosemill.decisions import balance
+from primrosemill.decisions import holdings
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import asgi
 from primrosemill.proxy import headers
@@ -33,14 +33,14 @@
 # Above any file that an instance should hand out in one answer.
 LONGEST_ANSWER = 2**40  # bytes
 LONGEST_RELAY = 3_600.0  # seconds
-ReadLoad = typing.Callable[[asgi.Headers], balance.Load | None]
+ReadLoad = typing.Callable[[asgi.Headers], holdings.Load | None]
 Pause = expression.Result[float, headers.BadPause]
 ReadPause = typing.Callable[[int, asgi.Headers], Pause | None]
 TellsLeaving = typing.Callable[[asgi.Headers], bool]
 ReadNotRun = typing.Callable[[int, asgi.Headers], outcomes.NotRunReason | None]
 
 
-def _no_load(lines: asgi.Headers) -> balance.Load | None:
+def _no_load(lines: asgi.Headers) -> holdings.Load | None:
     return None
 
 
--- a/packages/proxy/src/primrosemill/proxy/entry_settings.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_settings.py
@@ -33,6 +33,7 @@
     answer_lifetime: float = 1.0
     stop_seconds: float = 6.0
     floor_share: float = 0.7
+    crossing_cost: float = 0.15
     retry_share: float = 0.2
     retry_slack: float = 0.0
     processor: float = 0.0
@@ -130,6 +131,15 @@
         "0.7",
         "The share of a service's instances that stays in use.",
     ),
+    schema.Key(
+        "choice",
+        "crossing_cost",
+        "crossing_cost",
+        schema.Number(0.0, 1.0),
+        "0.15",
+        "What a request that crosses failure domains costs, in lost requests: "
+        "it stays at home while the chance there is no more than this lower.",
+    ),
     schema.Key(
         "retries",
         "share",
--- a/packages/proxy/src/primrosemill/proxy/entry_view.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_view.py
@@ -27,6 +27,7 @@
         self.points: tuple[homes.Vm, ...] = ()
         self._points_by_domain: dict[str, tuple[homes.Vm, ...]] = {}
         self._told_by_domain: dict[str, tuple[str, ...]] = {}
+        self._told_at_home: tuple[str, ...] | None = None
         self._lead_basis_by_service: dict[str, _LeadBasis] = {}
 
     @property
@@ -39,6 +40,7 @@
         self._view = entry_points.View(vms, slots)
         self._points_by_domain.clear()
         self._told_by_domain.clear()
+        self._told_at_home = None
         self.points = self.points_of(self._own.domain)
 
     def points_of(self, domain: str) -> tuple[homes.Vm, ...]:
@@ -59,6 +61,14 @@
             self._told_by_domain[domain] = told
         return told
 
+    def told_at_home(self) -> tuple[str, ...]:
+        """Return the VMs of the own domain to tell of good answers."""
+        if self._told_at_home is None:
+            self._told_at_home = entry_points.told_at_home_ids(
+                self._view, self._own
+            )
+        return self._told_at_home
+
     def changed_leads(
         self, services_by_name: typing.Mapping[str, documents.Service]
     ) -> dict[str, frozenset[str]]:
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -2,13 +2,13 @@
 
 import http
 import random
-import typing
 
 import prometheus_client
 import trio
 
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
+from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import homes
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
@@ -26,6 +26,7 @@
 from primrosemill.proxy import entry_settings
 from primrosemill.proxy import entry_view
 from primrosemill.proxy import learned
+from primrosemill.proxy import news
 from primrosemill.proxy import peers
 from primrosemill.proxy import plugs
 from primrosemill.proxy import server
@@ -44,16 +45,6 @@
 # A VM that is no entry point takes this fraction of an entry point's part:
 # only callers with old answers come to it.
 OTHERS_PART = 4
-NEWS_WAITING = 64  # messages that were not sent yet; later ones are dropped
-
-
-class News(typing.NamedTuple):
-    """A message on an instance, and the failure domain of that."""
-
-    message: messages.Suspicion | messages.Departure
-    domain: str
-
-
 TAKES_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
@@ -79,7 +70,7 @@
                 self._note_pause,
                 counts.crossings.count,
             ),
-            settings.floor_share,
+            balancing.Costs(settings.floor_share, settings.crossing_cost),
         )
         self._retries = budgets.BudgetedRetries(
             waits_for_budget=False, usual_time=self._balancers.usual_time
@@ -107,7 +98,9 @@
             counts.peers,
             generator,
             feed_hooks=peers.FeedHooks(
-                self._note_change, self._hear, self._hear_departure
+                self._note_change,
+                self._balancers.take_sightings,
+                self._hear_departure,
             ),
         )
         self._document = documents.empty_document(settings.fleet)
@@ -122,9 +115,7 @@
             self._scope,
         )
         self._counts = counts
-        self._send_news, self._news = trio.open_memory_channel[News](
-            NEWS_WAITING
-        )
+        self._news = news.News(settings.domain, self._view)
 
     async def run(self) -> None:
         """Serve until stopped; callers once there are routes."""
@@ -141,7 +132,9 @@
                 await _listen(nursery, self._callers, settings.caller_address)
                 nursery.start_soon(self._application.keep_time)
                 nursery.start_soon(self._keep_view)
-                nursery.start_soon(self._tell_news)
+                tell = self.peers.node.tell
+                nursery.start_soon(self._news.send_messages, tell)
+                nursery.start_soon(self._news.send_good_answers, tell)
                 await self.peers.node.announce_serving()
                 collector.settle()
                 self._announce()
@@ -303,10 +296,6 @@
                 source=source,
             )
 
-    def _hear(self, suspicion: messages.Suspicion) -> None:
-        """Take the suspicion of a peer."""
-        self._balancers.take_suspicion(*suspicion)
-
     def _hear_departure(self, departure: messages.Departure) -> None:
         """Take what an instance said of itself to a peer."""
         self._balancers.take_departure(*departure)
@@ -327,12 +316,7 @@
         kind = counters.Announcement.LEAVING_TOLD_BY_PEER
         if told:
             kind = counters.Announcement.LEAVING
-            self._tell(
-                News(
-                    messages.Departure(service, instance.id, instance.boot),
-                    instance.domain,
-                )
-            )
+            self._news.note_departure(departure)
         self._counts.announcements.count(kind)
 
     def _note_pause(self, pause: learned.Pause) -> None:
@@ -351,42 +335,20 @@
         )
 
     def _note_trust(self, changed: learned.Changed) -> None:
-        verdict = changed.verdict
-        events.emit(
-            events.TRUST_CHANGED,
-            service=changed.service,
-            instance_id=verdict.instance_id,
-            trust=verdict.trust.name.lower(),
-            seconds=round(verdict.seconds, 2),
-            failures=round(verdict.failures, 2),
-            cause=changed.cause,
-            request_id=changed.request_id,
-        )
-        if not changed.shared:
-            return
-        suspicion = messages.Suspicion(
-            changed.service,
-            verdict.instance_id,
-            changed.boot,
-            verdict.seconds,
-        )
-        self._tell(News(suspicion, changed.domain))
-
-    def _tell(self, news: News) -> None:
-        try:
-            self._send_news.send_nowait(news)
-        except trio.WouldBlock:
+        """Log what is news for operators, and tell peers."""
+        change = changed.change
+        if changed.failed or change.trust_changed:
             events.emit(
-                events.NEWS_DROPPED,
-                message=type(news.message).__name__.lower(),
-                service=news.message.service,
-                instance_id=news.message.instance_id,
+                events.TRUST_CHANGED,
+                service=changed.service,
+                instance_id=change.instance_id,
+                trust=beliefs.trust_of(change.after).name.lower(),
+                before=round(change.before, 3),
+                chance=round(change.after, 3),
+                cause=changed.cause,
+                request_id=changed.request_id,
             )
-
-    async def _tell_news(self) -> None:
-        async for news in self._news:
-            told = self._view.told_of(news.domain)
-            await self.peers.node.tell(news.message, told)
+        self._news.note(changed, trio.current_time())
 
     async def _keep_view(self) -> None:
         seen = None
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -201,6 +201,7 @@
             outgoing.route,
             outgoing.arrived,
             outgoing.id_text,
+            self._retries.repeat_cost(self._context.service),
         )
 
     def _has_run_everywhere(self, failure: Failure) -> bool:
--- a/packages/proxy/src/primrosemill/proxy/learned.py
+++ b/packages/proxy/src/primrosemill/proxy/learned.py
@@ -3,8 +3,8 @@
 import typing
 
 from primrosemill.configuration import document as documents
-from primrosemill.decisions import avoidance
 from primrosemill.decisions import balance
+from primrosemill.decisions import belief as beliefs
 from primrosemill.proxy import headers
 
 # Sources of the news that an instance is leaving.
@@ -13,15 +13,21 @@
 
 
 class Changed(typing.NamedTuple):
-    """The trust of this VM in an instance changed, and why."""
+    """What this VM believes of an instance changed, and why.
+
+    ``failed`` tells that it failed a request, ``own`` that the request was
+    this VM's and peers should know; ``at`` is the trio time of the failure,
+    or of the start of the request that was answered well.
+    """
 
     service: str
-    boot: int
-    verdict: avoidance.Verdict
+    instance: documents.Instance
+    change: beliefs.Change
     cause: str
-    domain: str
+    failed: bool
+    own: bool
+    at: float
     request_id: str = ""
-    shared: bool = False
 
 
 class Departure(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/plugs.py
+++ b/packages/proxy/src/primrosemill/proxy/plugs.py
@@ -9,7 +9,8 @@
 
 import expression
 
-from primrosemill.decisions import balance
+from primrosemill.decisions import dispatch
+from primrosemill.decisions import holdings
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import headers
 
@@ -62,7 +63,7 @@
     elapsed: float
     draining: bool = False
     abandoned: bool = False
-    load: balance.Load | None = None
+    load: holdings.Load | None = None
     timed_out: bool = False
     pause: expression.Result[float, headers.BadPause] | None = None
 
@@ -140,6 +141,10 @@
         """Count a hedge that is about to start; False forbids it."""
         ...
 
+    def repeat_cost(self, service: str) -> float:
+        """Return what a failed attempt costs, in lost requests."""
+        ...
+
 
 class AdmitAll:
     """Lets every request in."""
@@ -189,6 +194,10 @@
         """Return True: there is no budget."""
         return True
 
+    def repeat_cost(self, service: str) -> float:
+        """Return the same always: there is no budget."""
+        return dispatch.REPEAT_COST
+
 
 class Plugs(typing.NamedTuple):
     """The decisions that one application uses."""
