Tell from logs which requests were lost, and why

primrosemill losses reads the logs of VMs and counts the lost requests by cause, by what any VM had last seen of the instance, and by whether another one had just answered well. The reading of logs is shared with explain.

--- a/packages/cli/src/primrosemill/cli/explain.py
+++ b/packages/cli/src/primrosemill/cli/explain.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from primrosemill.cli import exits
+from primrosemill.cli import logs
 from primrosemill.cli import tables
 
 HEADS = ("SECONDS", "VM", "EVENT", "DETAILS")
@@ -88,32 +89,18 @@
     request_id: str, content: typing.Iterable[str], file_name: str
 ) -> Found:
     """Return the lines of one log that name a request."""
+    found = logs.read(content, file_name, request_id)
     lines = []
-    damaged = 0
-    for text in content:
-        prefix, brace, rest = text.partition("{")
-        if not brace or request_id not in rest:
+    for record in found.records:
+        if record.fields.get("request_id") != request_id:
             continue
-        try:
-            record = msgspec.json.decode(brace + rest)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            damaged += 1
-            continue
-        if record.get("request_id") != request_id:
-            continue
-        words = prefix.split()
         details = {
-            key: value for key, value in record.items() if key not in LEFT_OUT
+            key: value
+            for key, value in record.fields.items()
+            if key not in LEFT_OUT
         }
-        lines.append(
-            Line(
-                record.get("timestamp", 0.0),
-                words[-1] if words else file_name,
-                record.get("event", ""),
-                details,
-            )
-        )
-    return Found(tuple(lines), damaged)
+        lines.append(Line(record.time, record.vm, record.event, details))
+    return Found(tuple(lines), found.damaged)
 
 
 def lay_out(lines: list[Line]) -> list[str]:
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -7,6 +7,7 @@
 from primrosemill.cli import entry
 from primrosemill.cli import exits
 from primrosemill.cli import explain
+from primrosemill.cli import losses
 from primrosemill.cli import proxy
 from primrosemill.cli import status
 from primrosemill.cli import version
@@ -18,6 +19,7 @@
     status.command,
     addresses.command,
     explain.command,
+    losses.command,
     version.command,
 )
 
