Take an instance at home that no VM uses for empty

Peers tell of the instances that they use, so one that nobody told of for 2 s is empty. The cost of a full instance rises from 0.03 to 0.05.

--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -25,6 +25,10 @@
 STALL_FACTOR = 4.0  # times the usual time after which no answer is a sign
 LEAST_STALL = 0.4  # seconds; shorter delays are common on a busy network
 OTHERS_WEIGHT = 0.05  # of the latest told load in the usual one
+# An instance at home that no VM of the domain has told of for so long holds
+# nothing of others: those in use are told of every 0.4 s, and answers take
+# up to some seconds.
+UNUSED_AFTER = 2.0  # seconds
 # Of the chance of an instance that holds a request for far too long: it may
 # only be slow, and the deadline tells.
 STALLED_CHANCE = 0.2
@@ -37,7 +41,7 @@
 BORROWING_COST = 0.02
 # At an instance whose slots are all taken; it grows with the square, as
 # instances slow down and shed when they are nearly full.
-FULL_COST = 0.03
+FULL_COST = 0.05
 # Values closer than this are equal, and chance decides.
 TIE = 0.002
 
@@ -213,7 +217,7 @@
         for use in uses:
             if now < use.paused_until or not self._may_get(use, need):
                 continue
-            usual = self._usual_of(use)
+            usual = self._usual_of(use, now)
             occupied = use.occupied(now, usual)
             if not use.has_room(occupied, usual):
                 continue
@@ -366,14 +370,18 @@
         """Return when a choice may succeed without a release."""
         return now + SHED_PAUSE / 4
 
-    def _usual_of(self, use: holdings.Holding) -> float:
+    def _usual_of(self, use: holdings.Holding, now: float) -> float:
         """Return what others usually hold at an instance.
 
         Only what it has just told closes it: what is usual leaves room, or
-        it would never be seen to fall.
+        it would never be seen to fall. Peers tell of the instances at home
+        that they use.
         """
         if not use.other_lead:
             return 0.0
+        quiet = now - self.belief.heard_at(use.instance.id)
+        if not use.remote and quiet > UNUSED_AFTER:
+            return 0.0
         return min(self._usual_others, use.instance.slots)
 
     def _may_get(self, use: holdings.Holding, need: Need) -> bool:
--- a/tests/decisions/test_balance.py
+++ b/tests/decisions/test_balance.py
@@ -105,9 +105,19 @@
         made = self.make(instance(0))
         for _ in range(30):
             made.note_load("i-0", holdings.Load(2, 0, 2), 1.0)
+        # A peer has told of it.
+        made.belief.succeeded("i-0", 4.5, 4.5)
         self.assertIsNotNone(made.choose(ONCE, 5.0))
         self.assertIsNone(made.choose(ONCE, 5.0))
 
+    def test_one_that_nobody_uses_lends_all_its_slots(self):
+        made = self.make(instance(0))
+        for _ in range(30):
+            made.note_load("i-0", holdings.Load(2, 0, 2), 1.0)
+        made.belief.succeeded("i-0", 1.0, 1.0)
+        found = [made.choose(ONCE, 5.0) for _ in range(3)]
+        self.assertEqual([True, True, False], [bool(each) for each in found])
+
     def test_what_is_usual_closes_no_instance_for_good(self):
         made = self.make(instance(0))
         for _ in range(100):
