--- a/packages/measure/src/primrosemill/measure/load_ways.py
+++ b/packages/measure/src/primrosemill/measure/load_ways.py
@@ -78,7 +78,9 @@
 
 def _allocation_of(play: load_play.Play, domain: str) -> allocation.Allocation:
     generator = random.Random(play.generator.random())
-    return allocation.Allocation(domain, generator, 0.0)
+    return allocation.Allocation(
+        domain, generator, 0.0, crossing_cost=balance.CROSSING_COST
+    )
 
 
 def make_current(play: load_play.Play, domain: str) -> allocation.Allocation:
