Wait to stay off a bad instance, not to stay at home

Cause: with a wait that costs 0.05 at once a request waited up to a sixth of its target rather than cross. A first cost of 0.2 is above that of a crossing.

--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -22,9 +22,9 @@
 # A large body waits for an instance of the own failure domain this long, as
 # a share of its route's target; then it crosses.
 LOCAL_PATIENCE = 0.2
-# What a wait for a better instance costs a request, in lost requests: little
-# at once, and as much as a late answer is worth less once it is late.
-FIRST_WAIT_COST = 0.05
+# What a wait for a better instance costs a request, in lost requests: more than
+# a crossing at once, and what a late answer is worth less once it is late.
+FIRST_WAIT_COST = 0.2
 LATE_COST = 0.7
 COST_STEP = 0.05  # so that many who wait ask for the same
 # Callers that were refused until a pause ends come back over so long.
