--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -22,8 +22,9 @@
 # A large body waits for an instance of the own failure domain this long, as
 # a share of its route's target; then it crosses.
 LOCAL_PATIENCE = 0.2
-# What a wait for a better instance costs a request, in lost requests: more than
-# a crossing at once, and what a late answer is worth less once it is late.
+# What a wait for a better instance costs a request, in lost requests: more
+# than a crossing at once, so that a request waits to stay off a bad instance
+# and not to stay at home; once it is late, what a late answer is worth less.
 FIRST_WAIT_COST = 0.2
 LATE_COST = 0.7
 COST_STEP = 0.05  # so that many who wait ask for the same
