--- a/packages/cli/src/primrosemill/cli/explain.py
+++ b/packages/cli/src/primrosemill/cli/explain.py
@@ -29,13 +29,6 @@
     details: dict[str, typing.Any]
 
 
-class Found(typing.NamedTuple):
-    """The lines on a request in order, and how many others were damaged."""
-
-    lines: tuple[Line, ...]
-    damaged: int
-
-
 class UnknownRequest(typing.NamedTuple):
     """No line of the logs names the request."""
 
@@ -45,14 +38,7 @@
 
 @click.command("explain", epilog=exits.HELP)
 @click.argument("request_id")
-@click.argument(
-    "paths",
-    metavar="[FILE]...",
-    nargs=-1,
-    type=click.Path(
-        exists=True, dir_okay=False, allow_dash=True, path_type=pathlib.Path
-    ),
-)
+@logs.files_argument
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def command(
     request_id: str, paths: tuple[pathlib.Path, ...], as_json: bool
@@ -63,21 +49,11 @@
     several with the VM's name before each line. Without one, or for "-",
     standard input is read. Lines that are no whole JSON object are counted.
     """
-    lines: list[Line] = []
-    read, damaged = 0, 0
-    for path in paths or (pathlib.Path("-"),):
-        with click.open_file(str(path), errors="replace") as log:
-            content = log.read().splitlines()
-        found = find(request_id, content, path.stem)
-        lines += found.lines
-        damaged += found.damaged
-        read += len(content)
-    if damaged:
-        click.echo(f"{damaged} damaged lines were left out", err=True)
+    content = logs.read_files(paths, request_id)
+    lines = find(request_id, content.records)
     if not lines:
-        fault = UnknownRequest(request_id, read)
+        fault = UnknownRequest(request_id, content.lines)
         exits.stop(exits.Status.BAD_INPUT, [_describe(fault)])
-    lines.sort(key=lambda line: (line.time, line.vm))
     if as_json:
         click.echo(msgspec.json.encode(lines))
         return
@@ -85,13 +61,10 @@
         click.echo(text)
 
 
-def find(
-    request_id: str, content: typing.Iterable[str], file_name: str
-) -> Found:
-    """Return the lines of one log that name a request."""
-    found = logs.read(content, file_name, request_id)
+def find(request_id: str, records: typing.Iterable[logs.Record]) -> list[Line]:
+    """Return the lines on a request."""
     lines = []
-    for record in found.records:
+    for record in records:
         if record.fields.get("request_id") != request_id:
             continue
         details = {
@@ -100,7 +73,7 @@
             if key not in LEFT_OUT
         }
         lines.append(Line(record.time, record.vm, record.event, details))
-    return Found(tuple(lines), found.damaged)
+    return lines
 
 
 def lay_out(lines: list[Line]) -> list[str]:
--- a/packages/cli/src/primrosemill/cli/logs.py
+++ b/packages/cli/src/primrosemill/cli/logs.py
@@ -1,9 +1,20 @@
 """Reads the logs of VMs: a JSON object a line, perhaps behind a VM's name."""
 
+import pathlib
 import typing
 
+import click
 import msgspec
 
+files_argument = click.argument(
+    "paths",
+    metavar="[FILE]...",
+    nargs=-1,
+    type=click.Path(
+        exists=True, dir_okay=False, allow_dash=True, path_type=pathlib.Path
+    ),
+)
+
 
 class Record(typing.NamedTuple):
     """One line of a log; the time is in seconds since the epoch."""
@@ -15,10 +26,11 @@
 
 
 class Content(typing.NamedTuple):
-    """The records of a log, and how many lines could not be read."""
+    """The records of logs, and how many of their lines are damaged."""
 
     records: tuple[Record, ...]
     damaged: int
+    lines: int = 0
 
 
 def read(
@@ -50,3 +62,25 @@
             )
         )
     return Content(tuple(records), damaged)
+
+
+def read_files(
+    paths: typing.Sequence[pathlib.Path], wanted: str = ""
+) -> Content:
+    """Return the records of all files, or of standard input, by time.
+
+    Damaged lines are counted on standard error.
+    """
+    records: list[Record] = []
+    damaged, lines = 0, 0
+    for path in paths or (pathlib.Path("-"),):
+        with click.open_file(str(path), errors="replace") as log:
+            texts = log.read().splitlines()
+        content = read(texts, path.stem, wanted)
+        records += content.records
+        damaged += content.damaged
+        lines += len(texts)
+    if damaged:
+        click.echo(f"{damaged} damaged lines were left out", err=True)
+    records.sort(key=lambda record: (record.time, record.vm))
+    return Content(tuple(records), damaged, lines)
--- a/packages/cli/src/primrosemill/cli/losses.py
+++ b/packages/cli/src/primrosemill/cli/losses.py
@@ -94,7 +94,7 @@
         return seen[place - 1] if place else None
 
 
-def find(records: list[logs.Record]) -> list[Loss]:
+def find(records: typing.Sequence[logs.Record]) -> list[Loss]:
     """Return the requests that were lost; records in the order of times."""
     sent_by_id: dict[str, list[_Sent]] = collections.defaultdict(list)
     ended_ids = set()
@@ -164,14 +164,7 @@
 
 
 @click.command("losses", epilog=exits.HELP)
-@click.argument(
-    "paths",
-    metavar="[FILE]...",
-    nargs=-1,
-    type=click.Path(
-        exists=True, dir_okay=False, allow_dash=True, path_type=pathlib.Path
-    ),
-)
+@logs.files_argument
 @click.option("--json", "as_json", is_flag=True, help="Print each loss.")
 @click.option(
     "--seconds", is_flag=True, help="Count by second of the logs, too."
@@ -185,16 +178,7 @@
     of the instance, BETTER how many of the requests had another instance
     that had just answered well, CHANCE the mean that the VMs believed in.
     """
-    records: list[logs.Record] = []
-    damaged = 0
-    for path in paths or (pathlib.Path("-"),):
-        with click.open_file(str(path), errors="replace") as log:
-            content = logs.read(log, path.stem)
-        records += content.records
-        damaged += content.damaged
-    if damaged:
-        click.echo(f"{damaged} damaged lines were left out", err=True)
-    records.sort(key=lambda record: record.time)
+    records = logs.read_files(paths).records
     found = find(records)
     if as_json:
         click.echo(msgspec.json.encode(found))
--- a/packages/proxy/src/primrosemill/proxy/balancing.py
+++ b/packages/proxy/src/primrosemill/proxy/balancing.py
@@ -26,6 +26,7 @@
 from primrosemill.proxy import learned
 from primrosemill.proxy import plugs
 from primrosemill.proxy import waiters
+from primrosemill.proxy import weighing
 from primrosemill.telemetry import events
 
 STATES_BY_TRUST = {
@@ -35,7 +36,6 @@
 }
 
 SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
-SLOW = "slow"  # The cause where answers are good, but late.
 MILLISECONDS = 1_000
 
 
@@ -326,7 +326,9 @@
         if judged.failed is None:
             return
         balancer.balance.coverage.note(not judged.failed, now)
-        self._weigh(balancer, instance, end, judged)
+        self._listeners.on_change(
+            weighing.weigh(balancer.allocation, instance, end, judged, now)
+        )
         balancer.wake()
 
     def _take_announcements(
@@ -359,53 +361,3 @@
                 fault,
             )
         )
-
-    def _weigh(
-        self,
-        balancer: Balancer,
-        instance: documents.Instance,
-        end: plugs.AttemptEnd,
-        judged: judgements.Judgement,
-    ) -> None:
-        """Change what is believed of an instance by an attempt there."""
-        now = trio.current_time()
-        belief = balancer.balance.belief
-        start = end.start
-        cause = judgements.cause(end.outcome)
-        failed = judged.failed
-        if not failed and self._is_slow(balancer, end, now):
-            failed, cause = True, SLOW
-        at = now if failed else start.started
-        if failed and judged.failed and not judged.shared:
-            change = belief.no_path(instance.id, now)
-        elif failed:
-            change = belief.failed(instance.id, now)
-        else:
-            belief.reached(instance.id, now)
-            change = belief.succeeded(instance.id, at, now)
-        self._listeners.on_change(
-            learned.Changed(
-                start.service,
-                instance,
-                change,
-                cause,
-                failed,
-                judged.shared or not judged.failed,
-                at,
-                start.request_id,
-            )
-        )
-
-    def _is_slow(
-        self, balancer: Balancer, end: plugs.AttemptEnd, now: float
-    ) -> bool:
-        """Tell whether an instance answers well, but far too slowly."""
-        times = balancer.allocation.times
-        route = end.start.route
-        usual = times.usual(route) if times.known(route) else None
-        times.note(route, end.elapsed)
-        if usual is None:
-            return False
-        return balancer.balance.belief.is_slow(
-            end.start.instance_id, end.elapsed / usual, now
-        )
--- a/packages/proxy/src/primrosemill/proxy/learned.py
+++ b/packages/proxy/src/primrosemill/proxy/learned.py
@@ -15,9 +15,9 @@
 class Changed(typing.NamedTuple):
     """What this VM believes of an instance changed, and why.
 
-    ``failed`` tells that it failed a request, ``own`` that the request was
-    this VM's and peers should know; ``at`` is the trio time of the failure,
-    or of the start of the request that was answered well.
+    ``failed`` tells that it failed a request, ``shared`` that this VM saw it
+    itself and peers should know; ``at`` is the trio time of the failure, or
+    of the start of the request that was answered well.
     """
 
     service: str
@@ -25,7 +25,7 @@
     change: beliefs.Change
     cause: str
     failed: bool
-    own: bool
+    shared: bool
     at: float
     request_id: str = ""
 
--- a/packages/proxy/src/primrosemill/proxy/news.py
+++ b/packages/proxy/src/primrosemill/proxy/news.py
@@ -79,10 +79,10 @@
         if changed.failed:
             self._told_at_by_id.pop(instance.id, None)
             self._good_by_id.pop(instance.id, None)
-            if changed.own:
+            if changed.shared:
                 self._tell_failure(changed, now)
             return
-        if not changed.own:
+        if not changed.shared:
             self._told_at_by_id[instance.id] = now
             return
         told_at = self._told_at_by_id.get(instance.id, -TELL_AFTER)
--- a/tests/proxy/test_news.py
+++ b/tests/proxy/test_news.py
@@ -20,7 +20,7 @@
 
 
 def changed(
-    failed=True, own=True, before=0.9, after=0.2, domain="a", number=0
+    failed=True, shared=True, before=0.9, after=0.2, domain="a", number=0
 ):
     instance = documents.Instance(
         f"i-{number}", "10.0.0.1", 80, domain, boot=7
@@ -31,7 +31,7 @@
         beliefs.Change(instance.id, before, after),
         "status_500",
         failed,
-        own,
+        shared,
         0.0,
     )
 
@@ -69,7 +69,7 @@
         self.assertEqual(HOME, told_ids)
 
     def test_what_a_peer_told_is_not_passed_on(self):
-        self.assertEqual([], self.told((1.0, changed(own=False))))
+        self.assertEqual([], self.told((1.0, changed(shared=False))))
 
     def test_an_instance_that_is_avoided_is_not_told_of_at_each_failure(self):
         again = changed(before=0.2, after=0.1)
@@ -94,5 +94,5 @@
 
     def test_not_where_a_peer_has_just_told_of_the_instance(self):
         good = changed(failed=False)
-        steps = [(1.0, good._replace(own=False)), (1.1, good)]
+        steps = [(1.0, good._replace(shared=False)), (1.1, good)]
         self.assertEqual([], self.told(*steps, good=True))
