--- a/packages/measure/src/primrosemill/measure/load_play.py
+++ b/packages/measure/src/primrosemill/measure/load_play.py
@@ -20,6 +20,7 @@
 from primrosemill.decisions import pool
 from primrosemill.decisions import retry_budget
 from primrosemill.decisions import waiting_line
+from primrosemill.measure import load_instances
 from primrosemill.measure import load_patterns
 
 QUEUE = 12  # requests that an instance holds beyond its slots
@@ -31,7 +32,6 @@
 RETRY_RESERVE = 6.0
 
 Make = typing.Callable[["Play", str], allocation.Allocation]
-Spans = tuple[tuple[float, float], ...]
 
 
 class Outcome(typing.NamedTuple):
@@ -44,19 +44,6 @@
     failed: bool
 
 
-class Instance:
-    """An instance with slots, a queue, and spans of trouble."""
-
-    def __init__(self, record: documents.Instance, spells: Spans) -> None:
-        self.record = record
-        self.spells = spells
-        self.lost: Spans = ()
-        self.silent: Spans = ()
-        self.slow: Spans = ()
-        self.running = 0
-        self.queue: list[tuple[_Request, float]] = []
-
-
 class Vm(typing.NamedTuple):
     """An entry VM, its decisions and what it told of instances."""
 
@@ -76,11 +63,6 @@
     tried: frozenset[str]
 
 
-def covers(spans: Spans, now: float) -> bool:
-    """Tell whether a time is within any of the spans."""
-    return any(start <= now < end for start, end in spans)
-
-
 class Play:
     """One run of a pattern."""
 
@@ -99,51 +81,12 @@
         self._events: list[tuple] = []
         self._waiting: dict[tuple[str, int], _Request] = {}
         self._wakes_due: set[str] = set()
-        self.instances_by_id: dict[str, Instance] = {}
-        for number, size in enumerate(pattern.domains):
-            for place in range(size):
-                self._add_instance(f"d{number}", place)
-        self._strike()
+        self.instances_by_id = load_instances.draw(pattern, self.generator)
         records = [each.record for each in self.instances_by_id.values()]
         self._vms_by_domain: dict[str, list[Vm]] = {}
         for number in range(len(pattern.domains)):
             self._add_vms(f"d{number}", make, records)
 
-    def _add_instance(self, domain: str, place: int) -> None:
-        spells = self.pattern.spells
-        spans = []
-        at = 0.0
-        while at < self.pattern.seconds:
-            at += self.generator.expovariate(spells.onset)
-            length = self.generator.expovariate(1.0 / spells.lasts)
-            spans.append((at, at + length))
-            at += length
-        record = documents.Instance(
-            f"{domain}-{place}",
-            "10.0.0.1",
-            1 + len(self.instances_by_id),
-            domain,
-            slots=self.pattern.slots,
-        )
-        self.instances_by_id[record.id] = Instance(record, tuple(spans))
-
-    def _strike(self) -> None:
-        """Give the instances their part of the trouble."""
-        pattern = self.pattern
-        span = ((pattern.strikes, pattern.strikes + pattern.lasts),)
-        order = list(self.instances_by_id.values())
-        self.generator.shuffle(order)
-        for each in order[: round(pattern.lost * len(order))]:
-            each.lost = span
-        for each in order[: round(pattern.silent * len(order))]:
-            each.silent = span
-        if pattern.slow > 1.0:
-            for each in order[: round(pattern.slow_share * len(order))]:
-                each.slow = span
-        for each in order:
-            if pattern.lost_domain and each.record.domain == "d0":
-                each.lost = span
-
     def _add_vms(
         self, domain: str, make: Make, records: list[documents.Instance]
     ) -> None:
@@ -235,10 +178,10 @@
         self.attempts += 1
         self.repeats += bool(request.attempts)
         self.crossings += instance.record.domain != request.vm.domain
-        if covers(instance.silent, now):
+        if load_instances.covers(instance.silent, now):
             deadline = request.arrived + request.route.deadline
             self._at(deadline, self._fail, request, instance, now)
-        elif covers(instance.lost, now):
+        elif load_instances.covers(instance.lost, now):
             self._at(now + ERROR_TIME, self._lose, request, instance, now)
         elif self._fails(instance, now):
             self._at(now + ERROR_TIME, self._fail, request, instance, now)
@@ -248,20 +191,20 @@
             instance.queue.append((request, now))
             self._start(now, instance)
 
-    def _fails(self, instance: Instance, now: float) -> bool:
+    def _fails(self, instance: load_instances.Instance, now: float) -> bool:
         spells = self.pattern.spells
-        in_spell = covers(instance.spells, now)
+        in_spell = load_instances.covers(instance.spells, now)
         self.into_spells += in_spell
         share = spells.fails if in_spell else spells.ordinary
         return self.generator.random() < share
 
-    def _sheds(self, instance: Instance, now: float) -> bool:
+    def _sheds(self, instance: load_instances.Instance, now: float) -> bool:
         struck = 0.0 <= now - self.pattern.strikes < self.pattern.lasts
         if struck and self.generator.random() < self.pattern.shed:
             return True
         return len(instance.queue) >= QUEUE
 
-    def _start(self, now: float, instance: Instance) -> None:
+    def _start(self, now: float, instance: load_instances.Instance) -> None:
         if instance.running >= instance.record.slots or not instance.queue:
             return
         request, sent = instance.queue.pop(0)
@@ -269,12 +212,16 @@
         spread = self.pattern.spread
         mean = -spread * spread / 2.0
         work = self.pattern.work * self.generator.lognormvariate(mean, spread)
-        if covers(instance.slow, now):
+        if load_instances.covers(instance.slow, now):
             work *= self.pattern.slow
         self._at(now + work, self._finish, request, instance, sent)
 
     def _finish(
-        self, now: float, request: _Request, instance: Instance, sent: float
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        sent: float,
     ) -> None:
         load = holdings.Load(
             instance.running, len(instance.queue), instance.record.slots
@@ -290,7 +237,11 @@
         self._wake(now, request.vm)
 
     def _note_answer(
-        self, now: float, request: _Request, instance: Instance, sent: float
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        sent: float,
     ) -> None:
         vm, name = request.vm, request.route.name
         times = vm.allocation.times
@@ -328,7 +279,7 @@
         vm.allocation.balance.belief.succeeded(instance_id, sent, now)
 
     def _note_failure(
-        self, now: float, request: _Request, instance: Instance
+        self, now: float, request: _Request, instance: load_instances.Instance
     ) -> None:
         vm, instance_id = request.vm, instance.record.id
         balance = vm.allocation.balance
@@ -355,7 +306,11 @@
         vm.told_at_by_id.pop(instance_id, None)
 
     def _fail(
-        self, now: float, request: _Request, instance: Instance, sent: float
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        sent: float,
     ) -> None:
         """Answer with the instance's own error, or not at all in time."""
         self._give_back(now, request, instance, sent, pool.End.FAILED)
@@ -367,7 +322,11 @@
         self._wake(now, request.vm)
 
     def _lose(
-        self, now: float, request: _Request, instance: Instance, sent: float
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        sent: float,
     ) -> None:
         """Find that there is no way to the instance."""
         self._give_back(now, request, instance, sent, pool.End.FAILED)
@@ -378,7 +337,11 @@
         self._wake(now, request.vm)
 
     def _shed(
-        self, now: float, request: _Request, instance: Instance, sent: float
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        sent: float,
     ) -> None:
         self._give_back(now, request, instance, sent, pool.End.SHED)
         request.vm.allocation.balance.coverage.note(False, now)
@@ -389,14 +352,18 @@
         self,
         now: float,
         request: _Request,
-        instance: Instance,
+        instance: load_instances.Instance,
         sent: float,
         end: pool.End,
     ) -> None:
         request.vm.allocation.release(instance.record.id, now - sent, end, now)
 
     def _retry(
-        self, now: float, request: _Request, instance: Instance, failed: bool
+        self,
+        now: float,
+        request: _Request,
+        instance: load_instances.Instance,
+        failed: bool,
     ) -> None:
         tried = request.tried | {instance.record.id}
         done = failed and len(tried) >= request.route.most_instances
--- a/packages/measure/src/primrosemill/measure/load_ways.py
+++ b/packages/measure/src/primrosemill/measure/load_ways.py
@@ -8,6 +8,7 @@
 from primrosemill.decisions import balance
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import holdings
+from primrosemill.measure import load_instances
 from primrosemill.measure import load_play
 
 
@@ -69,9 +70,9 @@
         instance = self._play.instances_by_id[instance_id]
         spells = self._play.pattern.spells
         for spans in (instance.lost, instance.silent):
-            if load_play.covers(spans, now):
+            if load_instances.covers(spans, now):
                 return 0.0
-        if load_play.covers(instance.spells, now):
+        if load_instances.covers(instance.spells, now):
             return 1.0 - spells.fails
         return 1.0 - spells.ordinary
 
