--- a/packages/decisions/src/primrosemill/decisions/balance.py
+++ b/packages/decisions/src/primrosemill/decisions/balance.py
@@ -42,7 +42,7 @@
 # At an instance whose slots are all taken; it grows with the square, as
 # instances slow down and shed when they are nearly full.
 FULL_COST = 0.05
-# Values closer than this are equal, and chance decides.
+# Values closer than this are as good as equal, and a random draw decides.
 TIE = 0.002
 
 
