--- a/packages/decisions/src/primrosemill/decisions/coverage.py
+++ b/packages/decisions/src/primrosemill/decisions/coverage.py
@@ -71,25 +71,29 @@
             instance_id = each.instance.id
             if each.other_lead or each.leaving or now < each.paused_until:
                 continue
-            if now - belief.failed_at(instance_id) < FAILURE_AGE:
-                continue
-            if belief.chance(instance_id, now) < LEAST_CHANCE:
-                continue
             heard_at = belief.heard_at(instance_id)
-            if each.starts or now - heard_at < USED_WITHIN:
-                used += 1
-                continue
             if heard_at == -math.inf and not each.tried:
                 if now >= each.cold_until:
                     return instance_id
                 continue
-            unused.append(instance_id)
-        if not trouble or not unused:
-            return None
+            if not trouble or self._is_left_out(instance_id, belief, now):
+                continue
+            if each.starts or now - heard_at < USED_WITHIN:
+                used += 1
+            else:
+                unused.append(instance_id)
         if used >= math.ceil(self._floor_share * (used + len(unused))):
             return None
         return max(unused, key=lambda each: belief.chance(each, now))
 
+    def _is_left_out(
+        self, instance_id: str, belief: beliefs.Belief, now: float
+    ) -> bool:
+        """Tell whether an instance need not be in use."""
+        if now - belief.failed_at(instance_id) < FAILURE_AGE:
+            return True
+        return belief.chance(instance_id, now) < LEAST_CHANCE
+
     def _fade(self, now: float) -> None:
         kept = math.exp((self._noted - now) / OUTCOME_FADE)
         self._served *= kept
