Log what peers tell of instances only where it changes their trust

Cause: each failure that a peer told was a line on every VM that heard it: 3,500 lines beside 2,300 attempts in a trial of 24 s with 48 VMs.

--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -337,7 +337,8 @@
     def _note_trust(self, changed: learned.Changed) -> None:
         """Log what is news for operators, and tell peers."""
         change = changed.change
-        if changed.failed or change.trust_changed:
+        own_failure = changed.failed and changed.cause != learned.PEER
+        if own_failure or change.trust_changed:
             events.emit(
                 events.TRUST_CHANGED,
                 service=changed.service,
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -267,9 +267,9 @@
     "PM4004",
     "trust_changed",
     Level.INFO,
-    "An instance failed a request, or its chance of success moved between "
-    "the levels of trust. `before` and `chance` are the probabilities that a "
-    "request succeeds; the request, if any, is the one whose outcome "
+    "An instance failed a request of this VM, or its chance of success moved "
+    "between the levels of trust. `before` and `chance` are the probabilities "
+    "that a request succeeds; the request, if any, is the one whose outcome "
     "decided.",
     (
         *("service", "instance_id", "trust", "before", "chance"),
