--- a/packages/proxy/src/primrosemill/proxy/news.py
+++ b/packages/proxy/src/primrosemill/proxy/news.py
@@ -27,6 +27,9 @@
 # An instance that is avoided already is not told of again so soon.
 TELL_AGAIN_AFTER = 0.3  # seconds
 MOST_SIGHTINGS = 16  # in one message; more wait for the next one
+# Of them in a message, so that it fits a datagram with its envelope.
+SIGHTINGS_SIZE = 1_150  # bytes
+SIGHTING_OVERHEAD = 24  # bytes of one besides its names
 MILLISECONDS = 1_000
 
 Tell = typing.Callable[
@@ -100,15 +103,26 @@
             await trio.sleep(BATCH_INTERVAL)
             now = trio.current_time()
             self._forget_old(now)
-            chosen = list(self._good_by_id.values())[:MOST_SIGHTINGS]
-            for changed in chosen:
-                del self._good_by_id[changed.instance.id]
-                self._told_at_by_id[changed.instance.id] = now
+            chosen = self._take_good(now)
             if chosen:
                 sightings = tuple(_sighting(each, now) for each in chosen)
                 told_ids = self._recipients.told_at_home()
                 await tell(messages.Sightings(sightings), told_ids)
 
+    def _take_good(self, now: float) -> list[learned.Changed]:
+        """Return the good answers to tell now, as many as fit."""
+        chosen: list[learned.Changed] = []
+        room = SIGHTINGS_SIZE
+        for instance_id, changed in list(self._good_by_id.items()):
+            names = changed.service.encode() + instance_id.encode()
+            room -= len(names) + SIGHTING_OVERHEAD
+            if room < 0 or len(chosen) == MOST_SIGHTINGS:
+                break
+            del self._good_by_id[instance_id]
+            self._told_at_by_id[instance_id] = now
+            chosen.append(changed)
+        return chosen
+
     def _forget_old(self, now: float) -> None:
         for told_at_by_id in (
             self._told_at_by_id,
--- a/tests/proxy/test_news.py
+++ b/tests/proxy/test_news.py
@@ -4,8 +4,10 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
 from primrosemill.fleet import messages
+from primrosemill.fleet import wire
 from primrosemill.proxy import learned
 from primrosemill.proxy import news
+from tests.builders import fleet
 
 HOME = ("vm-1", "vm-2")
 FAR = ("vm-8", "vm-9", *HOME)
@@ -96,3 +98,18 @@
         good = changed(failed=False)
         steps = [(1.0, good._replace(shared=False)), (1.1, good)]
         self.assertEqual([], self.told(*steps, good=True))
+
+    def test_long_names_fit_a_datagram(self):
+        steps = []
+        for number in range(40):
+            each = changed(failed=False, number=number)
+            instance = each.instance._replace(id=f"{number:064d}")
+            steps.append(
+                (1.0, each._replace(service="s" * 64, instance=instance))
+            )
+        sealer = fleet.sealer(0)
+        sent = self.told(*steps, good=True)
+        for message, _ in sent:
+            size = len(sealer.seal(message))
+            self.assertLess(size, wire.DATAGRAM_SIZE_LIMIT)
+        self.assertTrue(sent)
