--- a/packages/decisions/src/primrosemill/decisions/retry_budget.py
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -1,5 +1,7 @@
 """Bounds the attempts of a service to a share more than its requests."""
 
+from primrosemill.decisions import dispatch
+
 RETRY_SHARE = 0.15  # attempts that each request earns beyond its first
 RESERVE = 10.0  # attempts; what a quiet service may spend at once
 
@@ -31,9 +33,14 @@
         return self._tokens
 
     @property
-    def spent_share(self) -> float:
-        """Return the share of the reserve that is spent, from 0 to 1."""
-        return 1.0 - self._tokens / self.reserve if self.reserve else 1.0
+    def repeat_cost(self) -> float:
+        """Return what a failed attempt costs, in lost requests.
+
+        It rises to a whole request as the budget runs out.
+        """
+        spent = 1.0 - self._tokens / self.reserve if self.reserve else 1.0
+        first = dispatch.REPEAT_COST
+        return first + (1.0 - first) * spent
 
     def earn(self) -> None:
         """Count a request."""
--- a/packages/measure/src/primrosemill/measure/load_play.py
+++ b/packages/measure/src/primrosemill/measure/load_play.py
@@ -139,7 +139,6 @@
         excluded, only = request.tried, None
         if len(request.tried) >= route.most_instances:
             excluded, only = frozenset(), request.tried
-        spent = request.vm.budget.spent_share
         return dispatch.Wish(
             "caller",
             request.arrived + route.deadline,
@@ -148,8 +147,7 @@
             only,
             route,
             request.arrived,
-            repeat_cost=dispatch.REPEAT_COST
-            + (1.0 - dispatch.REPEAT_COST) * spent,
+            repeat_cost=request.vm.budget.repeat_cost,
         )
 
     def _arrive(self, now: float, request: _Request) -> None:
--- a/packages/proxy/src/primrosemill/proxy/budgets.py
+++ b/packages/proxy/src/primrosemill/proxy/budgets.py
@@ -2,7 +2,6 @@
 
 import typing
 
-from primrosemill.decisions import dispatch
 from primrosemill.decisions import hedging
 from primrosemill.decisions import retries
 from primrosemill.decisions import retry_budget
@@ -97,13 +96,8 @@
         return hedging.affordable(budget) and budget.spend()
 
     def repeat_cost(self, service: str) -> float:
-        """Return what a failed attempt costs, in lost requests.
-
-        It rises to a whole request as the budget runs out.
-        """
-        spent = self._budget(service).spent_share
-        first = dispatch.REPEAT_COST
-        return first + (1.0 - first) * spent
+        """Return what a failed attempt costs, in lost requests."""
+        return self._budget(service).repeat_cost
 
     def _budget(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets_by_service.get(service)
