Log the request limits that instances name

An instance in need names in its answers how many requests a second it takes from all VMs together.

The adapter decodes Server-Limit once. InstanceLimits keeps what is known of each incarnation: of two answers whose order is unknown the stricter one counts, and only a successful answer to a request sent after the limit was read ends it. instance_limit (PM4007) and three kinds of announcements in the metrics tell of it. The choice of instances does not change.

--- a/packages/decisions/src/primrosemill/decisions/announcements.py
+++ b/packages/decisions/src/primrosemill/decisions/announcements.py
@@ -21,27 +21,28 @@
 MAX_REMEMBERED = 10_000
 
 
-class _Incarnation(typing.NamedTuple):
+class Incarnation(typing.NamedTuple):
     """One run of an instance's process."""
 
     instance_id: str
     boot: int
 
 
-def _incarnation_of(instance: documents.Instance) -> _Incarnation:
-    return _Incarnation(instance.id, instance.boot)
+def incarnation_of(instance: documents.Instance) -> Incarnation:
+    """Return the incarnation that an entry of the feed describes."""
+    return Incarnation(instance.id, instance.boot)
 
 
 class Announcements:
     """The announcements of the instances of one service."""
 
     def __init__(self) -> None:
-        self._leaving: dict[_Incarnation, None] = {}
-        self._pause_end_by_incarnation: dict[_Incarnation, float] = {}
+        self._leaving: dict[Incarnation, None] = {}
+        self._pause_end_by_incarnation: dict[Incarnation, float] = {}
 
     def record_leaving(self, instance: documents.Instance) -> bool:
         """Record that an instance is leaving; return whether that is new."""
-        incarnation = _incarnation_of(instance)
+        incarnation = incarnation_of(instance)
         if incarnation in self._leaving:
             return False
         if len(self._leaving) >= MAX_REMEMBERED:
@@ -56,7 +57,7 @@
 
         A shorter pause doesn't end an earlier one.
         """
-        incarnation = _incarnation_of(instance)
+        incarnation = incarnation_of(instance)
         previous_end = self._pause_end_by_incarnation.get(incarnation, now)
         self._pause_end_by_incarnation[incarnation] = max(
             previous_end, now + seconds
@@ -64,12 +65,12 @@
 
     def is_leaving(self, instance: documents.Instance) -> bool:
         """Return whether the instance or its entry says it is leaving."""
-        return instance.leaving or _incarnation_of(instance) in self._leaving
+        return instance.leaving or incarnation_of(instance) in self._leaving
 
     def pause_end(self, instance: documents.Instance) -> float:
         """Return when the pause of an instance ends, or 0 without one."""
         return self._pause_end_by_incarnation.get(
-            _incarnation_of(instance), 0.0
+            incarnation_of(instance), 0.0
         )
 
     def prune(
@@ -80,7 +81,7 @@
         An announcement without a boot number is outdated when its instance is
         no longer listed.
         """
-        listed = {_incarnation_of(instance) for instance in instances}
+        listed = {incarnation_of(instance) for instance in instances}
         for incarnation in list(self._leaving):
             if incarnation.boot == UNKNOWN_BOOT and incarnation not in listed:
                 del self._leaving[incarnation]
--- a/packages/decisions/src/primrosemill/decisions/instance_selection.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_selection.py
@@ -18,6 +18,7 @@
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import coverage
 from primrosemill.decisions import dispatch
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_usage
 from primrosemill.decisions import response_times
 
@@ -120,6 +121,7 @@
         self.belief = beliefs.Belief()
         self.coverage = coverage.Coverage(floor_share)
         self.announcements = announcements.Announcements()
+        self.limits = instance_limits.InstanceLimits()
         self._crossing_cost = crossing_cost
         self.mean_response_time = response_times.INITIAL_ESTIMATE
         self._domain = domain
--- a/packages/platform/src/primrosemill/platform/headers.py
+++ b/packages/platform/src/primrosemill/platform/headers.py
@@ -58,6 +58,12 @@
     return instance_usage.Load(*(int(part) for part in parts))
 
 
+def read_limit(answer_headers: asgi.Headers) -> dialects.Limit | None:
+    """Return the requests per second that an instance accepts, or None."""
+    values = headers.find_all(answer_headers, names.LIMIT)
+    return headers.parse_limit(values) if values else None
+
+
 def is_leaving(answer_headers: asgi.Headers) -> bool:
     """Tell whether an answer announces that its instance is leaving."""
     return (
@@ -73,6 +79,7 @@
     read_not_run=read_not_run,
     read_load=read_load,
     is_leaving=is_leaving,
+    read_limit=read_limit,
     request_id=names.REQUEST_ID,
     expected_instance=names.EXPECTED_INSTANCE,
     status_by_refusal=STATUS_BY_REFUSAL,
--- a/packages/platform/src/primrosemill/platform/names.py
+++ b/packages/platform/src/primrosemill/platform/names.py
@@ -25,6 +25,8 @@
 LOAD = b"primrosemill-instance-load"
 # In all answers of the store: rises when it is restored from a copy.
 EPOCH = b"store-era"
+# Requests per second that the instance accepts from all VMs together.
+LIMIT = b"server-limit"
 # In every answer of an instance that is leaving.
 LEAVING_HEADER = b"server-leaving"
 LEAVING_VALUE = b"1"
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -97,6 +97,7 @@
         self.draining = False
         self.load: instance_usage.Load | None = None
         self.pause: dialects.Pause | None = None
+        self.limit: dialects.Limit | None = None
         self._idle_time: float | None = None
 
     async def close(self) -> None:
@@ -186,6 +187,8 @@
         if not self._matches_request(response):
             return outcomes.Unknown(outcomes.UnknownReason.FOREIGN_ANSWER)
         self.load = dialect.read_load(response.headers)
+        if not_run is not outcomes.NotRunReason.OTHER_INSTANCE:
+            self.limit = dialect.read_limit(response.headers)
         self._idle_time = headers.parse_idle_time(response.headers)
         result = await self._buffer_start(response, first_byte)
         if not_run is not None:
--- a/packages/proxy/src/primrosemill/proxy/balancers.py
+++ b/packages/proxy/src/primrosemill/proxy/balancers.py
@@ -16,6 +16,7 @@
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import coverage
 from primrosemill.decisions import dispatch
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_selection
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import priority_queue
@@ -325,6 +326,68 @@
     ) -> None:
         """Do nothing: only a complete answer is evidence."""
 
+    def limit_read(self, reading: request_policies.LimitReading) -> None:
+        """Record the limit that an answer names, or that it names none."""
+        start = reading.start
+        balancer = self._balancers_by_service.get(start.service)
+        if balancer is None:
+            return
+        instance = balancer.selector.instance(start.instance_id)
+        if instance is None or instance.boot != start.boot:
+            return
+        if reading.limit is not None and reading.limit.is_error():
+            self._record_invalid_limit(balancer, instance, reading)
+            return
+        statement = instance_limits.Statement(
+            None if reading.limit is None else reading.limit.ok,
+            start.started,
+            trio.current_time(),
+        )
+        self._record_limit(
+            balancer,
+            instance,
+            statement,
+            instance_observations.SOURCE_ANSWER,
+            start.request_id,
+        )
+
+    def _record_invalid_limit(
+        self,
+        balancer: Balancer,
+        instance: documents.Instance,
+        reading: request_policies.LimitReading,
+    ) -> None:
+        fault = reading.limit.error
+        if not balancer.selector.limits.record_fault(instance, fault.value):
+            return
+        self._listeners.on_limit(
+            instance_observations.LimitNews(
+                balancer.name,
+                instance,
+                instance_observations.SOURCE_ANSWER,
+                request_id=reading.start.request_id,
+                fault=fault,
+            )
+        )
+
+    def _record_limit(
+        self,
+        balancer: Balancer,
+        instance: documents.Instance,
+        statement: instance_limits.Statement,
+        source: str,
+        request_id: str = "",
+    ) -> None:
+        limits = balancer.selector.limits
+        change = limits.record(instance, statement)
+        if change is None:
+            return
+        self._listeners.on_limit(
+            instance_observations.LimitNews(
+                balancer.name, instance, source, change, statement, request_id
+            )
+        )
+
     def attempt_ended(self, end: request_policies.AttemptEnd) -> None:
         """Update the belief in an instance from an attempt's outcome."""
         events.emit(
--- a/packages/proxy/src/primrosemill/proxy/counters.py
+++ b/packages/proxy/src/primrosemill/proxy/counters.py
@@ -31,6 +31,9 @@
     LEAVING_TOLD_BY_PEER = "leaving_told_by_peer"
     PAUSE = "pause"
     DAMAGED_PAUSE = "damaged_pause"
+    LIMIT = "limit"
+    LIMIT_TOLD_BY_PEER = "limit_told_by_peer"
+    DAMAGED_LIMIT = "damaged_limit"
 
 
 class Counters:
@@ -77,8 +80,8 @@
         )
         self.announcements = metrics.EnumCounter(
             "instance_announcements",
-            "What instances said of themselves: that they leave, or want no "
-            "request for a time.",
+            "What instances said of themselves: that they leave, want no "
+            "request for a time, or limit their requests.",
             "kind",
             Announcement,
             self.registry,
--- a/packages/proxy/src/primrosemill/proxy/detection.py
+++ b/packages/proxy/src/primrosemill/proxy/detection.py
@@ -129,6 +129,9 @@
         )
         self._on_answer(start.service, now - start.started, now)
 
+    def limit_read(self, reading: request_policies.LimitReading) -> None:
+        """Ignore the limit: the project's own headers name none."""
+
     def attempt_ended(self, end: request_policies.AttemptEnd) -> None:
         """Record how an attempt ended."""
         start = end.start
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -36,6 +36,8 @@
 ReadLoad = typing.Callable[[asgi.Headers], instance_usage.Load | None]
 Pause = expression.Result[float, headers.InvalidPause]
 ReadPause = typing.Callable[[int, asgi.Headers], Pause | None]
+Limit = expression.Result[float, headers.InvalidLimit]
+ReadLimit = typing.Callable[[asgi.Headers], Limit | None]
 IsLeaving = typing.Callable[[asgi.Headers], bool]
 ReadNotRun = typing.Callable[[int, asgi.Headers], outcomes.NotRunReason | None]
 
@@ -44,6 +46,10 @@
     return None
 
 
+def _no_limit(lines: asgi.Headers) -> Limit | None:
+    return None
+
+
 def is_leaving(lines: asgi.Headers) -> bool:
     """Return whether an answer announces that its instance is leaving."""
     return headers.find(lines, headers.INSTANCE_STATE) == headers.DRAINING
@@ -93,6 +99,7 @@
     read_load: ReadLoad = _no_load
     is_leaving: IsLeaving = is_leaving
     read_pause: ReadPause = read_pause
+    read_limit: ReadLimit = _no_limit
     request_id: bytes | None = None
     expected_instance: bytes | None = None
     status_by_refusal: dict[outcomes.RefusalReason, int] = STATUS_BY_REFUSAL
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -15,6 +15,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import home_vms
+from primrosemill.decisions import instance_limits
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 from primrosemill.fleet import mirror
@@ -76,6 +77,7 @@
                 self._on_belief_update,
                 self._on_departure,
                 self._on_pause,
+                self._on_limit,
                 counts.crossings.count,
             ),
             balancers.BalanceSettings(
@@ -361,6 +363,25 @@
             fault=repr(pause.fault) if pause.fault is not None else "",
         )
 
+    def _on_limit(self, news: instance_observations.LimitNews) -> None:
+        self._counters.announcements.count(_kind_of_limit(news))
+        change = news.change or instance_limits.Change(None, None)
+        age = 0.0
+        if news.statement is not None:
+            age = trio.current_time() - news.statement.received_at
+        events.emit(
+            events.INSTANCE_LIMIT,
+            service=news.service,
+            instance_id=news.instance.id,
+            boot=news.instance.boot,
+            limit=change.current,
+            previous=change.previous,
+            age=round(age, 3),
+            source=news.source,
+            request_id=news.request_id,
+            fault=repr(news.fault) if news.fault is not None else "",
+        )
+
     def _on_belief_update(
         self, update: instance_observations.BeliefUpdate
     ) -> None:
@@ -434,6 +455,16 @@
         )
 
 
+def _kind_of_limit(
+    news: instance_observations.LimitNews,
+) -> counters.Announcement:
+    if news.fault is not None:
+        return counters.Announcement.DAMAGED_LIMIT
+    if news.source == instance_observations.SOURCE_PEER:
+        return counters.Announcement.LIMIT_TOLD_BY_PEER
+    return counters.Announcement.LIMIT
+
+
 def _ignore_document(document: documents.Document) -> None:
     pass
 
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -1,6 +1,7 @@
 """Defines, parses and filters the headers of callers and instances."""
 
 import math
+import re
 import typing
 
 import expression
@@ -33,6 +34,8 @@
 # for as long as the VM runs.
 MAX_PAUSE = 300.0  # seconds
 MAX_SHOWN_VALUE = 40  # bytes of an invalid value in the log
+# A decimal number without sign or exponent, of a length that a float holds.
+_DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 
 class InvalidPause(typing.NamedTuple):
@@ -46,6 +49,13 @@
     seconds: float = 0.0
 
 
+class InvalidLimit(typing.NamedTuple):
+    """An invalid limit of requests per second named by an instance."""
+
+    value: str
+    detail: str
+
+
 HOP_BY_HOP_NAMES = frozenset(
     {
         CONNECTION,
@@ -106,6 +116,19 @@
     return None
 
 
+def find_all(headers: asgi.Headers, name: bytes) -> list[bytes]:
+    """Return the values of a header, split at commas.
+
+    The name must be in lower case.
+    """
+    return [
+        part.strip()
+        for each_name, value in headers
+        if each_name.lower() == name
+        for part in value.split(b",")
+    ]
+
+
 def parse_timeout(
     value: bytes | None, ceiling: float, units_per_second: float = 1.0
 ) -> float:
@@ -143,6 +166,21 @@
     return expression.Ok(seconds)
 
 
+def parse_limit(
+    values: list[bytes],
+) -> expression.Result[float, InvalidLimit]:
+    """Return the lowest limit, in requests per second, of some values."""
+    for value in values:
+        if _DECIMAL.fullmatch(value) is None:
+            return expression.Error(
+                InvalidLimit(
+                    value[:MAX_SHOWN_VALUE].decode("latin-1"),
+                    "no decimal number",
+                )
+            )
+    return expression.Ok(min(float(value) for value in values))
+
+
 def format_timeout(seconds: float) -> bytes:
     """Return the remaining time as a header value."""
     return f"{max(seconds, 0.0):.3f}".encode()
--- a/packages/proxy/src/primrosemill/proxy/instance_observations.py
+++ b/packages/proxy/src/primrosemill/proxy/instance_observations.py
@@ -4,6 +4,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_selection
 from primrosemill.proxy import headers
 
@@ -53,10 +54,27 @@
     fault: headers.InvalidPause | None = None
 
 
+class LimitNews(typing.NamedTuple):
+    """An instance named, changed or dropped a limit of its requests.
+
+    ``change`` is None if the limit is the same, and ``statement`` is what is
+    known of it now. ``fault`` is set if the named value is invalid.
+    """
+
+    service: str
+    instance: documents.Instance
+    source: str
+    change: instance_limits.Change | None = None
+    statement: instance_limits.Statement | None = None
+    request_id: str = ""
+    fault: headers.InvalidLimit | None = None
+
+
 OnBeliefUpdate = typing.Callable[[BeliefUpdate], None]
 OnDeparture = typing.Callable[[Departure], None]
 OnCrossing = typing.Callable[[instance_selection.Crossing], None]
 OnPause = typing.Callable[[Pause], None]
+OnLimit = typing.Callable[[LimitNews], None]
 
 
 class Listeners(typing.NamedTuple):
@@ -65,4 +83,5 @@
     on_belief_update: OnBeliefUpdate
     on_departure: OnDeparture
     on_pause: OnPause
+    on_limit: OnLimit
     on_crossing: OnCrossing
--- a/packages/proxy/src/primrosemill/proxy/request_policies.py
+++ b/packages/proxy/src/primrosemill/proxy/request_policies.py
@@ -74,6 +74,17 @@
     pause: expression.Result[float, headers.InvalidPause] | None = None
 
 
+class LimitReading(typing.NamedTuple):
+    """What an answer said of its instance's limit.
+
+    ``limit`` is the number of requests per second, why it is invalid, or
+    None if the answer named none.
+    """
+
+    start: AttemptStart
+    limit: expression.Result[float, headers.InvalidLimit] | None
+
+
 class Observer(typing.Protocol):
     """Receives every attempt, for fault detection, and schedules trials.
 
@@ -93,6 +104,10 @@
         """Record that an instance started to answer; the end follows."""
         ...
 
+    def limit_read(self, reading: LimitReading) -> None:
+        """Record what an answer, not yet relayed, said of a limit."""
+        ...
+
     def attempt_ended(self, end: AttemptEnd) -> None:
         """Record how an attempt ended."""
         ...
@@ -180,6 +195,9 @@
     def attempt_answered(self, start: AttemptStart, status: int) -> None:
         """Ignore the answer."""
 
+    def limit_read(self, reading: LimitReading) -> None:
+        """Ignore the limit."""
+
     def attempt_ended(self, end: AttemptEnd) -> None:
         """Ignore the attempt."""
 
--- a/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
@@ -15,6 +15,7 @@
 # If a deadline is handled later than this, the VM itself was paused, and the
 # missing answer says nothing about the instance.
 VM_PAUSE_THRESHOLD = 0.25  # seconds
+SUCCESSFUL_STATUSES = range(200, 300)
 CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
 SHED = outcomes.NotRun(outcomes.NotRunReason.SHED)
 CANCELLED_UNSENT = outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
@@ -108,14 +109,33 @@
     async def run(self) -> attempts.Result:
         """Send the request and read the start of its answer."""
         self.result = await self.attempt.run()
+        self._report_limit()
         if isinstance(self.result, attempts.Answer):
             self._context.observer.attempt_answered(
                 self._start, self.result.status
             )
         return self.result
 
+    def _report_limit(self) -> None:
+        """Report what the answer said of a limit.
+
+        Only a successful answer shows that the instance names none.
+        """
+        limit = self.attempt.limit
+        successful = (
+            isinstance(self.result, attempts.Answer)
+            and self.result.status in SUCCESSFUL_STATUSES
+        )
+        if limit is not None or successful:
+            self._context.observer.limit_read(
+                request_policies.LimitReading(self._start, limit)
+            )
+
     async def finish(self) -> request_policies.AttemptEnd:
         """Release the slot and the connection, and report the outcome."""
+        if self.result is None:
+            # The attempt was cancelled, maybe while it read the body.
+            self._report_limit()
         await self.attempt.close()
         end = self._build_end()
         self._context.dispatcher.release(
--- a/packages/standins/src/primrosemill/standins/users_instance.py
+++ b/packages/standins/src/primrosemill/standins/users_instance.py
@@ -81,6 +81,10 @@
         self.late_copy = b""
         # Value of the Retry-After header of a 503; None to omit it.
         self.retry_after: bytes | None = None
+        # Value of the Server-Limit header of every response; None to omit it.
+        self.limit: bytes | None = None
+        # Times at which requests arrived, refused ones included.
+        self.arrived_at: list[float] = []
         self.next_modes: collections.deque[ResponseMode] = collections.deque()
         self.runs: list[Run] = []
         self.turned_away: list[Run] = []
@@ -122,6 +126,7 @@
         )
         if run is None:
             return False
+        self.arrived_at.append(trio.current_time())
         if self.next_modes:
             self.next_modes.popleft()
         if self.late_copy and self.runs:
@@ -153,6 +158,8 @@
             headers.append((b"server-leaving", b"1"))
         if status == 503 and self.retry_after is not None:
             headers.append((b"retry-after", self.retry_after))
+        if self.limit is not None:
+            headers.append((b"server-limit", self.limit))
         return headers
 
     async def _wait(
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -296,6 +296,19 @@
         "fault",
     ),
 )
+INSTANCE_LIMIT = Event(
+    "PM4007",
+    "instance_limit",
+    Level.INFO,
+    "An instance named, changed or dropped the limit of its requests per "
+    "second, in an answer to this VM or to a peer, `age` seconds ago. `limit` "
+    "and `previous` are null for no limit; `fault` tells why a named limit "
+    "was ignored.",
+    (
+        *("service", "instance_id", "boot", "limit", "previous", "age"),
+        *("source", "request_id", "fault"),
+    ),
+)
 MEMBER_CHANGED = Event(
     "PM5002",
     "member_changed",
@@ -355,6 +368,7 @@
     TRUST_CHANGED,
     INSTANCE_LEAVING,
     INSTANCE_PAUSED,
+    INSTANCE_LIMIT,
     NEWS_DROPPED,
     MEMBER_CHANGED,
     WATCH_CHANGED,
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -135,6 +135,18 @@
     count: int = 2, document: dict | None = None, **changes: typing.Any
 ):
     """Run a VM with some instances and yield it when it serves."""
+    async with running_fleet(1, count, document, **changes) as (built,):
+        yield built
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    vm_count: int,
+    count: int = 2,
+    document: dict | None = None,
+    **changes: typing.Any,
+):
+    """Run VMs of one fleet with some instances; yield them once they serve."""
     store = users_store.StoreStandin()
     instances = [
         users_instance.InstanceStandin(f"i-{number}")
@@ -148,16 +160,26 @@
             addresses.append(endpoint.address)
             store.put_json(f"servers/{instance.id}", entry(endpoint.address))
         store.put_json("op/config", document or configuration())
-        vm_settings = settings(served.address, **changes)
-        vm = entry_vm.EntryVm(
-            vm_settings,
-            adapter.make_adapter(vm_settings.feed_address),
-            random.Random(1),
-        )
-        nursery.start_soon(vm.run)
-        built = Running(vm, vm_settings, store, instances, addresses)
-        await wait_until_ready(built)
-        yield built
+        fleet: list[Running] = []
+        for number in range(1, vm_count + 1):
+            first_peers = tuple(
+                each.settings.peer_address for each in fleet[:1]
+            )
+            vm_settings = settings(
+                served.address,
+                vm_id=f"entry-{number}",
+                first_peers=first_peers,
+            )._replace(**changes)
+            vm = entry_vm.EntryVm(
+                vm_settings,
+                adapter.make_adapter(vm_settings.feed_address),
+                random.Random(number),
+            )
+            nursery.start_soon(vm.run)
+            built = Running(vm, vm_settings, store, instances, addresses)
+            await wait_until_ready(built)
+            fleet.append(built)
+        yield fleet
         nursery.cancel_scope.cancel()
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -32,3 +32,28 @@
         )
         for invalid in (b"", b"3,1", b"a,b,c", b"3,-1,8", b"1,2,3,4"):
             self.assertIsNone(headers.read_load([(name, invalid)]))
+
+    def test_limit_is_a_decimal_number(self):
+        def read(*values):
+            return headers.read_limit(
+                [(b"Server-Limit", value) for value in values]
+            )
+
+        self.assertIsNone(headers.read_limit([]))
+        for value, expected in (
+            *((b"3", 3.0), (b" 2.2 ", 2.2), (b"0", 0.0), (b".5", 0.5)),
+        ):
+            self.assertEqual(expected, read(value).ok)
+        for invalid in (
+            *(b"", b"many", b"-1", b"+1", b"nan", b"inf", b"1e3", b"1_0"),
+            *(b"0x1", b"1 2", b"1" * 400, "\u0663".encode(), b"\xff"),
+        ):
+            fault = read(invalid).error
+            self.assertLessEqual(len(fault.value), 40)
+
+    def test_lowest_of_several_limits_counts(self):
+        for values in ((b"3", b"1"), (b"3, 1",)):
+            lines = [(b"server-limit", value) for value in values]
+            self.assertEqual(1.0, headers.read_limit(lines).ok)
+        invalid = [(b"server-limit", b"3"), (b"server-limit", b"many")]
+        self.assertTrue(headers.read_limit(invalid).is_error())
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -72,6 +72,9 @@
     def attempt_answered(self, start, status):
         pass
 
+    def limit_read(self, reading):
+        pass
+
     def attempt_ended(self, end):
         self.ends.append(end)
         self.ended.set()
--- a/tests/proxy/test_sightings.py
+++ b/tests/proxy/test_sightings.py
@@ -32,6 +32,7 @@
                 updates.append,
                 lambda departure: None,
                 lambda pause: None,
+                lambda news: None,
                 None,
             )
             vm_balancers = balancers.Balancers(
