--- /dev/null
+++ b/tests/platform/test_instance_limits.py
@@ -0,0 +1,100 @@
+"""Requests at an instance that names a limit, from a fleet of VMs."""
+
+import random
+
+import testtools
+import trio
+
+from tests.builders import users_platform as builders
+
+# The platform's rule: from this time after an instance first named its limit,
+# no window has more than the limit allows, times a factor, and some requests.
+STABLE_WINDOW = 3.0  # seconds
+WINDOW = 4.0  # seconds
+ALLOWED_FACTOR = 1.5
+ALLOWED_REQUESTS = 5
+
+VM_COUNT = 3
+RATE_PER_VM = 8.0  # requests per second
+SERVICE_TIME = 0.2  # seconds; all instances are needed at the above rate
+LIMIT = 2.0  # requests per second
+
+
+def allowed(limit):
+    return ALLOWED_FACTOR * limit * WINDOW + ALLOWED_REQUESTS
+
+
+def most_in_window(times, start):
+    """Return the highest number of times in any window after the start."""
+    counted = [time for time in times if time >= start]
+    return max(
+        (
+            sum(first <= time < first + WINDOW for time in counted)
+            for first in counted
+        ),
+        default=0,
+    )
+
+
+async def send_steadily(built, seconds, name, statuses):
+    """Send idempotent and non-idempotent requests to one VM at random."""
+    generator = random.Random(name)
+    end = trio.current_time() + seconds
+    number = 0
+
+    async def send_one(request_id, target):
+        response = await builders.call(built, target, request_id)
+        statuses.append(response.status)
+
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end:
+            number += 1
+            target = builders.READ_PATH if number % 2 else builders.ONCE_PATH
+            nursery.start_soon(send_one, f"{name}-{number}", target)
+            await trio.sleep(generator.expovariate(RATE_PER_VM))
+
+
+async def load_fleet(fleet, seconds):
+    """Send requests to all VMs and return the statuses."""
+    statuses = []
+    async with trio.open_nursery() as nursery:
+        for number, built in enumerate(fleet):
+            nursery.start_soon(
+                send_steadily, built, seconds, f"vm{number}", statuses
+            )
+    return statuses
+
+
+class LimitOfTheFleetTest(testtools.TestCase):
+    # Guards against VMs that ignore the limit, or each send as much as it
+    # allows in total.
+    def test_instance_gets_no_more_than_its_limit_from_all_vms_together(self):
+        async def main():
+            with trio.fail_after(builders.CHECK_TIMEOUT):
+                async with builders.running_fleet(VM_COUNT) as fleet:
+                    await check(fleet)
+
+        async def check(fleet):
+            limited, other = fleet[0].instances
+            for each in fleet[0].instances:
+                each.pause = SERVICE_TIME
+            limited.limit = str(LIMIT).encode()
+            started = trio.current_time()
+            statuses = await load_fleet(fleet, 2 * STABLE_WINDOW + WINDOW)
+            named_at = limited.arrived_at[0]
+            self.assertLess(named_at, started + 1.0)
+            self.assertLessEqual(
+                most_in_window(limited.arrived_at, named_at + STABLE_WINDOW),
+                allowed(LIMIT),
+            )
+            # It is still used, and the other instance takes what it can.
+            late = [
+                time
+                for time in limited.arrived_at
+                if time >= named_at + STABLE_WINDOW
+            ]
+            self.assertGreater(len(late), LIMIT)
+            self.assertLessEqual(set(statuses), {200, 503})
+            self.assertGreater(len(other.arrived_at), len(limited.arrived_at))
+
+        trio.run(main)
