--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -13,6 +13,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import coverage
 from primrosemill.decisions import dispatch
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_selection
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import priority_queue
@@ -34,6 +35,10 @@
 COST_STEP = 0.05  # lost requests
 # Callers that are refused until a pause ends return spread over this time.
 RETRY_AFTER_JITTER = 0.5  # seconds
+ANY_INSTANCE = instance_selection.Criteria(idempotent=True)
+# A caller that returns after a refusal for a limit may meet another VM, whose
+# share of the limit is free.
+MAX_LIMIT_RETRY_AFTER = 1.0  # seconds
 
 
 class Granted(typing.NamedTuple):
@@ -69,9 +74,10 @@
         now: float,
         floor_share: float = coverage.FLOOR_SHARE,
         crossing_cost: float = instance_selection.CROSSING_COST,
+        shares: instance_limits.Shares | None = None,
     ) -> None:
         self.selector = instance_selection.InstanceSelector(
-            domain, generator, floor_share, crossing_cost
+            domain, generator, floor_share, crossing_cost, shares
         )
         self._generator = generator
         self.response_times = response_times.ResponseTimes()
@@ -123,29 +129,31 @@
         self, request: dispatch.SlotRequest, now: float
     ) -> priority_queue.Refused | None:
         """Refuse a request that no instance can serve in time."""
-        if not self.selector.has_candidate(
-            self._satisfiable_criteria(request, now)
-        ):
+        criteria = self._satisfiable_criteria(request, now)
+        if not self.selector.has_candidate(criteria):
             return self._refuse(outcomes.RefusalReason.NO_INSTANCE, now)
-        pause_end = self.selector.first_pause_end(now)
-        if pause_end is None:
+        block = self.selector.find_block(criteria, now)
+        if block is None:
             return None
         response_time = self.response_times.mean(request.route.name)
         if (
-            pause_end + response_time
+            block.end + response_time
             <= request.arrived_at + request.route.effective_target_time
         ):
             return None
-        return self._paused_refusal(pause_end, now)
+        return self._blocked_refusal(block, now)
 
-    def _paused_refusal(
-        self, pause_end: float, now: float
+    def _blocked_refusal(
+        self, block: instance_selection.Block, now: float
     ) -> priority_queue.Refused:
+        """Return the refusal of a request that pauses or limits rule out."""
+        retry_after = block.end - now
+        reason = outcomes.RefusalReason.INSTANCES_PAUSED
+        if block.by_limit:
+            retry_after = min(retry_after, MAX_LIMIT_RETRY_AFTER)
+            reason = outcomes.RefusalReason.INSTANCES_LIMITED
         spread = RETRY_AFTER_JITTER * self._generator.random()
-        return priority_queue.Refused(
-            outcomes.RefusalReason.INSTANCES_PAUSED,
-            pause_end - now + spread,
-        )
+        return priority_queue.Refused(reason, retry_after + spread)
 
     def acquire_spare(
         self, request: dispatch.SlotRequest, now: float
@@ -205,19 +213,19 @@
             if instance is not None:
                 decision = Granted(instance)
             wakeups.append(Wakeup(waiter.ticket, decision))
-        return wakeups + self._refuse_paused(now)
+        return wakeups + self._refuse_blocked(now)
 
-    def _refuse_paused(self, now: float) -> list[Wakeup]:
-        """Refuse requests whose deadline precedes the end of all pauses."""
-        pause_end = self.selector.first_pause_end(now)
-        if pause_end is None:
+    def _refuse_blocked(self, now: float) -> list[Wakeup]:
+        """Refuse requests whose deadline precedes the end of the block."""
+        block = self.selector.find_block(ANY_INSTANCE, now)
+        if block is None:
             return []
         wakeups = []
         for waiter in self._queue.in_order(now):
-            if pause_end + waiter.response_time <= waiter.deadline:
+            if block.end + waiter.response_time <= waiter.deadline:
                 continue
             self.cancel(waiter.ticket)
-            refusal = self._paused_refusal(pause_end, now)
+            refusal = self._blocked_refusal(block, now)
             wakeups.append(Wakeup(waiter.ticket, refusal))
         return wakeups
 
@@ -231,14 +239,19 @@
         By Little's law this is the number of held slots divided by the mean
         response time. If no slot has been released for longer than that
         mean, the time since the last release replaces it. When instances
-        shed, few slots are held, so the rate of answers is a lower bound.
+        shed, few slots are held, so the rate of answers is a lower bound. If
+        all instances have limits, their sum is an upper bound.
         """
+        limited_rate = self.selector.limited_rate(now)
         busy = self.selector.in_flight
         if not busy:
-            return None
+            return limited_rate
         stalled_for = now - self._last_progress
         slot_rate = busy / max(self.response_times.overall, stalled_for)
-        return max(slot_rate, self._answer_rate.per_second(now))
+        drain_rate = max(slot_rate, self._answer_rate.per_second(now))
+        if limited_rate is None:
+            return drain_rate
+        return min(drain_rate, limited_rate)
 
     def _refuse(
         self, reason: outcomes.RefusalReason, now: float
--- a/packages/decisions/src/primrosemill/decisions/instance_limits.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_limits.py
@@ -6,7 +6,9 @@
 the order of two statements may be unknown; then the stricter one counts.
 
 Statements are kept per incarnation (one run of the instance's process), also
-while the feed doesn't list the instance. No I/O; times are in seconds.
+while the feed doesn't list the instance. A VM sends at its share of the limit
+(:mod:`.limit_shares`), evenly. No I/O; times are in seconds, rates in requests
+per second.
 """
 
 import math
@@ -14,10 +16,22 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import announcements
+from primrosemill.decisions import limit_shares
 
 # Incarnations whose limit is remembered; the oldest one is dropped first. The
 # platform's target is 10,000 instances.
 MAX_REMEMBERED = 10_000
+# Interval at which the first holder tells the other VMs of a limit.
+REPEAT_INTERVAL = 2.0  # seconds
+# Time without a report from a peer after which any VM repeats what it knows:
+# the first holder may not have heard of the limit.
+MAX_SILENCE = 2.5 * REPEAT_INTERVAL
+# Time for which VMs are told again that an instance has dropped its limit.
+DROP_REPEAT_TIME = 10.0  # seconds
+# Age of a statement at which a VM without a share may send one request: the
+# VMs with a share have had no answer since, so a limit that has ended would
+# go unnoticed.
+TRIAL_AGE = 20.0  # seconds
 
 
 class Statement(typing.NamedTuple):
@@ -37,7 +51,10 @@
 
 
 class Change(typing.NamedTuple):
-    """A change of the limit of an instance; None stands for no limit."""
+    """A change of the limit of an instance; None stands for no limit.
+
+    Both are equal if a limit was named again after a long time.
+    """
 
     previous: float | None
     current: float | None
@@ -52,15 +69,105 @@
     return new.received_at > known.received_at
 
 
+class Shares(typing.Protocol):
+    """Returns this VM's share of a limit; see :mod:`.limit_shares`."""
+
+    def share(
+        self, instance: documents.Instance, rate: float, now: float
+    ) -> float:
+        """Return the share of an instance's limit, from 0 to 1."""
+        ...
+
+    def is_first_holder(self, instance: documents.Instance) -> bool:
+        """Return whether this VM keeps the others informed of a limit."""
+        ...
+
+    def trial_delay(self, instance: documents.Instance) -> float:
+        """Return how long to leave a due trial to other VMs, in seconds."""
+        ...
+
+
 class InstanceLimits:
     """The limits that the instances of one service have named."""
 
-    def __init__(self) -> None:
+    def __init__(self, shares: Shares | None = None) -> None:
+        self._shares = shares or limit_shares.WholeLimit()
         self._statements_by_incarnation: dict[
             announcements.Incarnation, Statement
         ] = {}
+        self._sent_at_by_incarnation: dict[
+            announcements.Incarnation, float
+        ] = {}
+        self._heard_at_by_incarnation: dict[
+            announcements.Incarnation, float
+        ] = {}
         self._faults_by_incarnation: dict[announcements.Incarnation, str] = {}
 
+    @property
+    def any_named(self) -> bool:
+        """Return whether any instance has named a limit so far."""
+        return bool(self._statements_by_incarnation)
+
+    def incarnations(self) -> tuple[announcements.Incarnation, ...]:
+        """Return the incarnations that have named a limit, now or before."""
+        return tuple(self._statements_by_incarnation)
+
+    def own_rate(
+        self, instance: documents.Instance, now: float
+    ) -> float | None:
+        """Return this VM's part of an instance's limit; None without one."""
+        rate = self.rate(instance)
+        if rate is None:
+            return None
+        return rate * self._shares.share(instance, rate, now)
+
+    def next_send_at(self, instance: documents.Instance, now: float) -> float:
+        """Return when this VM may send the next request to an instance.
+
+        The result is not after ``now`` if it may send one now.
+        """
+        own_rate = self.own_rate(instance, now)
+        if own_rate is None:
+            return -math.inf
+        incarnation = announcements.incarnation_of(instance)
+        statement = self._statements_by_incarnation[incarnation]
+        sent_at = self._sent_at_by_incarnation[incarnation]
+        trial_at = (
+            max(sent_at, statement.received_at)
+            + TRIAL_AGE
+            + self._shares.trial_delay(instance)
+        )
+        if not own_rate:
+            return trial_at
+        return min(trial_at, sent_at + 1.0 / own_rate)
+
+    def record_sent(self, instance: documents.Instance, now: float) -> None:
+        """Record that a request is sent to an instance."""
+        incarnation = announcements.incarnation_of(instance)
+        if incarnation in self._sent_at_by_incarnation:
+            self._sent_at_by_incarnation[incarnation] = now
+
+    def is_to_repeat(self, instance: documents.Instance, now: float) -> bool:
+        """Return whether this VM keeps the others informed of a limit."""
+        statement = self.statement(instance)
+        if statement is None:
+            return False
+        if statement.rate is None and (
+            now - statement.received_at > DROP_REPEAT_TIME
+        ):
+            return False
+        incarnation = announcements.incarnation_of(instance)
+        heard_at = self._heard_at_by_incarnation[incarnation]
+        return now - heard_at > MAX_SILENCE or self._shares.is_first_holder(
+            instance
+        )
+
+    def record_heard(self, instance: documents.Instance, now: float) -> None:
+        """Record that a peer reported on the limit of an instance."""
+        incarnation = announcements.incarnation_of(instance)
+        if incarnation in self._heard_at_by_incarnation:
+            self._heard_at_by_incarnation[incarnation] = now
+
     def rate(self, instance: documents.Instance) -> float | None:
         """Return the requests per second of the limit, or None."""
         statement = self.statement(instance)
@@ -81,13 +188,24 @@
         if known is None:
             if statement.rate is None:
                 return None
-            _make_room(self._statements_by_incarnation)
+            for by_incarnation in (
+                self._statements_by_incarnation,
+                self._sent_at_by_incarnation,
+                self._heard_at_by_incarnation,
+            ):
+                _make_room(by_incarnation)
             self._statements_by_incarnation[incarnation] = statement
+            # Requests were sent without a limit until now.
+            self._sent_at_by_incarnation[incarnation] = statement.received_at
+            self._heard_at_by_incarnation[incarnation] = statement.received_at
             return Change(None, statement.rate)
+        if statement.rate is None and known.rate is None:
+            return None
         if not is_superseded(known, statement):
             return None
         self._statements_by_incarnation[incarnation] = statement
-        if statement.rate == known.rate:
+        age = statement.received_at - known.received_at
+        if statement.rate == known.rate and age < TRIAL_AGE:
             return None
         return Change(known.rate, statement.rate)
 
--- a/packages/decisions/src/primrosemill/decisions/instance_selection.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_selection.py
@@ -95,6 +95,16 @@
     FULL = "full"  # Its trusted instances were full or already tried.
 
 
+class Block(typing.NamedTuple):
+    """The end of the pauses and limits that rule out all instances.
+
+    ``by_limit`` is set if the instance that is free first has a limit.
+    """
+
+    end: float
+    by_limit: bool
+
+
 class _Choice(typing.NamedTuple):
     """The best instance found so far and its value, a negative cost."""
 
@@ -117,11 +127,12 @@
         generator: random.Random,
         floor_share: float = coverage.FLOOR_SHARE,
         crossing_cost: float = CROSSING_COST,
+        shares: instance_limits.Shares | None = None,
     ) -> None:
         self.belief = beliefs.Belief()
         self.coverage = coverage.Coverage(floor_share)
         self.announcements = announcements.Announcements()
-        self.limits = instance_limits.InstanceLimits()
+        self.limits = instance_limits.InstanceLimits(shares)
         self._crossing_cost = crossing_cost
         self.mean_response_time = response_times.INITIAL_ESTIMATE
         self._domain = domain
@@ -155,7 +166,7 @@
     def has_trusted_local(self, now: float) -> bool:
         """Return whether the own domain has a trusted instance that stays."""
         for usage in self._local:
-            if usage.leaving:
+            if usage.leaving or self._is_over_limit(usage, now):
                 continue
             trust = self.belief.trust(usage.instance.id, now)
             if trust is beliefs.Trust.TRUSTED:
@@ -209,8 +220,15 @@
         Returns None if no instance has one, or if a full instance is enough
         better to be worth waiting for.
         """
-        due_id = self.coverage.next_due(self._local, self.belief, now)
-        best = self._best_of(self._local, criteria, now, due_id, _NO_CHOICE)
+        open_local = self._local
+        if self.limits.any_named:
+            open_local = [
+                usage
+                for usage in self._local
+                if not self._is_over_limit(usage, now)
+            ]
+        due_id = self.coverage.next_due(open_local, self.belief, now)
+        best = self._best_of(open_local, criteria, now, due_id, _NO_CHOICE)
         if best.value < -self._crossing_cost and not criteria.local:
             best = self._best_of(self._remote, criteria, now, None, best)
         if best.usage is None:
@@ -225,6 +243,7 @@
             return None
         chosen.start_times.append(now)
         chosen.tried = True
+        self.limits.record_sent(chosen.instance, now)
         self._busy_by_id[chosen.instance.id] = chosen
         return chosen.instance
 
@@ -253,7 +272,7 @@
             if usage.instance.id == due_id:
                 value = 0.0
             value -= TIE_MARGIN * self._generator.random()
-            if value > best.value:
+            if value > best.value and not self._is_over_limit(usage, now):
                 best = _Choice(usage, value)
         return best
 
@@ -266,6 +285,8 @@
                 usage, criteria
             ):
                 continue
+            if self._is_over_limit(usage, now):
+                continue
             load = float(usage.instance.slots)
             if self._value(usage, criteria, load, now) > required:
                 return True
@@ -379,23 +400,65 @@
         self.announcements.record_pause(usage.instance, seconds, now)
         usage.paused_until = max(usage.paused_until, now + seconds)
 
-    def first_pause_end(self, now: float) -> float | None:
-        """Return when the first paused instance accepts requests again.
+    def find_block(self, criteria: Criteria, now: float) -> Block | None:
+        """Return until when pauses and limits rule out all instances.
 
-        Returns None if some instance is not paused, or if none is left.
+        Returns None if some instance is ruled out by neither, or if none may
+        get the request at all.
+        """
+        earliest = None
+        for usage in self._candidates(criteria):
+            pause_end = self.announcements.pause_end(usage.instance)
+            send_at = self.limits.next_send_at(usage.instance, now)
+            if max(pause_end, send_at) <= now:
+                return None
+            block = Block(max(pause_end, send_at), send_at > pause_end)
+            if earliest is None or block < earliest:
+                earliest = block
+        return earliest
+
+    def limited_instances(self) -> list[documents.Instance]:
+        """Return the instances that have named a limit, now or before."""
+        limited = []
+        for incarnation in self.limits.incarnations():
+            instance = self.instance(incarnation.instance_id)
+            if instance is not None and instance.boot == incarnation.boot:
+                limited.append(instance)
+        return limited
+
+    def limits_to_repeat(self, now: float) -> list[documents.Instance]:
+        """Return the instances of whose limits this VM informs others."""
+        return [
+            instance
+            for instance in self.limited_instances()
+            if self.limits.is_to_repeat(instance, now)
+        ]
+
+    def limited_rate(self, now: float) -> float | None:
+        """Return the requests per second that all limits allow this VM.
+
+        Returns None if some instance has no limit.
         """
-        earliest = math.inf
+        if not self.limits.any_named:
+            return None
+        total = 0.0
         for usage in self._usages_by_id.values():
             if usage.leaving:
                 continue
-            pause_end = self.announcements.pause_end(usage.instance)
-            if pause_end <= now:
+            own_rate = self.limits.own_rate(usage.instance, now)
+            if own_rate is None:
                 return None
-            earliest = min(earliest, pause_end)
-        return earliest if earliest < math.inf else None
+            total += own_rate
+        return total
 
     def has_candidate(self, criteria: Criteria) -> bool:
         """Return whether any instance may get the request, now or later."""
+        return any(True for _ in self._candidates(criteria))
+
+    def _candidates(
+        self, criteria: Criteria
+    ) -> typing.Iterator[instance_usage.InstanceUsage]:
+        """Yield the instances that may get the request, now or later."""
         for instance_id, usage in self._usages_by_id.items():
             if usage.leaving or instance_id in criteria.excluded_ids:
                 continue
@@ -403,8 +466,15 @@
                 criteria.allowed_ids is None
                 or instance_id in criteria.allowed_ids
             ):
-                return True
-        return False
+                yield usage
+
+    def _is_over_limit(
+        self, usage: instance_usage.InstanceUsage, now: float
+    ) -> bool:
+        """Return whether the limit of an instance rules out a request now."""
+        if not self.limits.any_named:
+            return False
+        return self.limits.next_send_at(usage.instance, now) > now
 
     def next_attempt_at(self, now: float) -> float:
         """Return when a choice may succeed without a released slot."""
--- a/packages/decisions/src/primrosemill/decisions/outcomes.py
+++ b/packages/decisions/src/primrosemill/decisions/outcomes.py
@@ -47,6 +47,7 @@
     QUEUE_FULL = "queue_full"
     NO_INSTANCE = "no_instance"
     INSTANCES_PAUSED = "instances_paused"
+    INSTANCES_LIMITED = "instances_limited"
     DEADLINE = "deadline"
     RETRIES_SPENT = "retries_spent"
     BODY_SENT = "body_sent"
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -37,6 +37,7 @@
     CHANGES = 8
     DEPARTURE = 10
     SIGHTINGS = 11
+    LIMITS = 12
 
 
 class Liveness(enum.IntEnum):
@@ -214,6 +215,31 @@
     boot: Count
 
 
+class InstanceLimit(typing.NamedTuple):
+    """What the sender knows of the limit of an instance.
+
+    ``milli_rate`` is in thousandths of a request per second; None if the
+    instance has dropped its limit. ``sent_age_ms`` and ``received_age_ms`` are
+    the ages in ms, at sending, of the request and of the answer from which
+    that is known.
+    """
+
+    service: Name
+    instance_id: Name
+    boot: Count
+    milli_rate: Count | None
+    sent_age_ms: Count
+    received_age_ms: Count
+
+
+class Limits(typing.NamedTuple):
+    """Carries the limits that instances have named or dropped."""
+
+    limits: typing.Annotated[
+        tuple[InstanceLimit, ...], msgspec.Meta(max_length=16)
+    ]
+
+
 Message = (
     Ping
     | Ack
@@ -225,6 +251,7 @@
     | Changes
     | Departure
     | Sightings
+    | Limits
 )
 
 KINDS_BY_TYPE: dict[type, Kind] = {
@@ -238,4 +265,5 @@
     Changes: Kind.CHANGES,
     Departure: Kind.DEPARTURE,
     Sightings: Kind.SIGHTINGS,
+    Limits: Kind.LIMITS,
 }
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -48,6 +48,8 @@
 SightingsHandler = typing.Callable[[messages.Sightings], None]
 # Called when an instance has announced to a peer that it is leaving.
 DepartureHandler = typing.Callable[[messages.Departure], None]
+# Called with what a peer knows of the limits of instances.
+LimitsHandler = typing.Callable[[messages.Limits], None]
 
 
 def _ignore_report(report: evidence.Report, measured_at: float) -> None:
@@ -68,6 +70,10 @@
     pass
 
 
+def _ignore_limits(limits: messages.Limits) -> None:
+    pass
+
+
 class Identity(typing.NamedTuple):
     """Identity of this process in the fleet.
 
@@ -109,6 +115,7 @@
     on_change: feed_follower.ChangeHandler = _ignore_change
     on_sightings: SightingsHandler = _ignore_sightings
     on_departure: DepartureHandler = _ignore_departure
+    on_limits: LimitsHandler = _ignore_limits
 
 
 class Node:
@@ -324,6 +331,9 @@
         if isinstance(message, messages.Departure):
             self._hooks.on_departure(message)
             return
+        if isinstance(message, messages.Limits):
+            self._hooks.on_limits(message)
+            return
         outgoing = self.membership.receive(message, trio.current_time())
         if isinstance(message, messages.Ping | messages.Ack):
             self.follower.record_peer_version(
--- a/packages/proxy/src/primrosemill/proxy/balancers.py
+++ b/packages/proxy/src/primrosemill/proxy/balancers.py
@@ -25,6 +25,7 @@
 from primrosemill.fleet import messages
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import belief_updates
+from primrosemill.proxy import headers
 from primrosemill.proxy import instance_observations
 from primrosemill.proxy import outcome_classification
 from primrosemill.proxy import request_policies
@@ -67,10 +68,11 @@
         generator: random.Random,
         alarm: alarms.Alarm,
         settings: BalanceSettings = DEFAULT_SETTINGS,
+        shares: instance_limits.Shares | None = None,
     ) -> None:
         self.name = service.name
         self.allocation = allocation.Allocation(
-            domain, generator, trio.current_time(), *settings
+            domain, generator, trio.current_time(), *settings, shares
         )
         self._alarm = alarm
         self._waiters_by_ticket: dict[int, waiters.Waiter] = {}
@@ -186,19 +188,28 @@
         generator: random.Random,
         listeners: instance_observations.Listeners,
         settings: BalanceSettings = DEFAULT_SETTINGS,
+        shares: instance_limits.Shares | None = None,
     ) -> None:
+        self._shares = shares
         self._domain = domain
         self._settings = settings
         self._generator = generator
         self._listeners = listeners
         self._balancers_by_service: dict[str, Balancer] = {}
+        # As last returned by take_share_changes.
+        self._own_rates_by_key: dict[tuple[str, str, int], float | None] = {}
 
     def create(
         self, service: documents.Service, alarm: alarms.Alarm
     ) -> Balancer:
         """Create the balancer of a service for the application."""
         balancer = Balancer(
-            service, self._domain, self._generator, alarm, self._settings
+            service,
+            self._domain,
+            self._generator,
+            alarm,
+            self._settings,
+            self._shares,
         )
         self._balancers_by_service[service.name] = balancer
         return balancer
@@ -212,16 +223,28 @@
         if balancer is not None:
             balancer.selector.set_led_ids(led_ids)
 
+    def _find_instance(
+        self, service: str, instance_id: str, boot: int
+    ) -> tuple[Balancer, documents.Instance] | None:
+        """Return an instance and its balancer if this boot of it is known."""
+        balancer = self._balancers_by_service.get(service)
+        if balancer is None:
+            return None
+        instance = balancer.selector.instance(instance_id)
+        if instance is None or instance.boot != boot:
+            return None
+        return balancer, instance
+
     def apply_sightings(self, message: messages.Sightings) -> None:
         """Update beliefs from what a peer observed of instances."""
         now = trio.current_time()
         for sighting in message.sightings:
-            balancer = self._balancers_by_service.get(sighting.service)
-            if balancer is None:
-                continue
-            instance = balancer.selector.instance(sighting.instance_id)
-            if instance is None or instance.boot != sighting.boot:
+            found = self._find_instance(
+                sighting.service, sighting.instance_id, sighting.boot
+            )
+            if found is None:
                 continue
+            balancer, instance = found
             observed_at = now - sighting.age_ms / MILLISECONDS_PER_SECOND
             belief = balancer.selector.belief
             failed = sighting.outcome is messages.SightingOutcome.FAILED
@@ -249,6 +272,74 @@
             service, instance_id, boot, instance_observations.SOURCE_PEER
         )
 
+    def apply_limits(self, message: messages.Limits) -> None:
+        """Record what a peer knows of the limits of instances."""
+        now = trio.current_time()
+        for each in message.limits:
+            found = self._find_instance(
+                each.service, each.instance_id, each.boot
+            )
+            if found is None:
+                continue
+            balancer, instance = found
+            rate = None
+            if each.milli_rate is not None:
+                rate = each.milli_rate / headers.LIMIT_STEPS
+            statement = instance_limits.Statement(
+                rate,
+                now - each.sent_age_ms / MILLISECONDS_PER_SECOND,
+                now - each.received_age_ms / MILLISECONDS_PER_SECOND,
+            )
+            self._record_limit(
+                balancer,
+                instance,
+                statement,
+                instance_observations.SOURCE_PEER,
+            )
+            balancer.selector.limits.record_heard(instance, now)
+
+    def take_share_changes(
+        self, now: float
+    ) -> list[instance_observations.LimitShare]:
+        """Return the parts of limits that changed since the last call."""
+        rates_by_key: dict[tuple[str, str, int], float | None] = {}
+        changes = []
+        for name, balancer in self._balancers_by_service.items():
+            limits = balancer.selector.limits
+            for instance in balancer.selector.limited_instances():
+                key = (name, instance.id, instance.boot)
+                own_rate = limits.own_rate(instance, now)
+                rates_by_key[key] = own_rate
+                if self._own_rates_by_key.get(key) == own_rate:
+                    continue
+                changes.append(
+                    instance_observations.LimitShare(
+                        name, instance, limits.rate(instance), own_rate
+                    )
+                )
+        self._own_rates_by_key = rates_by_key
+        return changes
+
+    def limits_to_repeat(
+        self, now: float
+    ) -> list[instance_observations.LimitNews]:
+        """Return the limits of which this VM has to keep the others informed.
+
+        Dropped limits are included for some time.
+        """
+        limits = []
+        for name, balancer in self._balancers_by_service.items():
+            for instance in balancer.selector.limits_to_repeat(now):
+                limits.append(
+                    instance_observations.LimitNews(
+                        name,
+                        instance,
+                        instance_observations.SOURCE_ANSWER,
+                        statement=balancer.selector.limits.statement(instance),
+                    )
+                )
+        return limits
+
     def _record_leaving(
         self,
         service: str,
@@ -329,12 +420,12 @@
     def limit_read(self, reading: request_policies.LimitReading) -> None:
         """Record the limit that an answer names, or that it names none."""
         start = reading.start
-        balancer = self._balancers_by_service.get(start.service)
-        if balancer is None:
-            return
-        instance = balancer.selector.instance(start.instance_id)
-        if instance is None or instance.boot != start.boot:
+        found = self._find_instance(
+            start.service, start.instance_id, start.boot
+        )
+        if found is None:
             return
+        balancer, instance = found
         if reading.limit is not None and reading.limit.is_error():
             self._record_invalid_limit(balancer, instance, reading)
             return
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -16,6 +16,7 @@
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import home_vms
 from primrosemill.decisions import instance_limits
+from primrosemill.decisions import limit_shares
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 from primrosemill.fleet import mirror
@@ -70,6 +71,7 @@
             settings.vm_id, settings.domain, settings.capacity_rps
         )
         counts = counters.Counters(prometheus_client.CollectorRegistry())
+        self._limit_shares = limit_shares.LimitShares(settings.vm_id)
         self._balancers = balancers.Balancers(
             settings.domain,
             generator,
@@ -83,6 +85,7 @@
             balancers.BalanceSettings(
                 settings.floor_share, settings.crossing_cost
             ),
+            self._limit_shares,
         )
         self._retries = budgeted_retries.BudgetedRetries(
             waits_for_budget=False,
@@ -116,6 +119,7 @@
                 self._on_feed_change,
                 self._balancers.apply_sightings,
                 self._on_peer_departure,
+                self._balancers.apply_limits,
             ),
         )
         self._document = documents.empty_document(settings.fleet)
@@ -156,6 +160,11 @@
                 send = self.peers.node.send_to
                 nursery.start_soon(self._notifier.send_queued, send)
                 nursery.start_soon(self._notifier.send_success_batches, send)
+                nursery.start_soon(
+                    self._notifier.repeat_limits,
+                    self._balancers.limits_to_repeat,
+                    send,
+                )
                 await self.peers.node.announce_serving()
                 garbage_collection.configure()
                 self._log_start()
@@ -365,6 +374,10 @@
 
     def _on_limit(self, news: instance_observations.LimitNews) -> None:
         self._counters.announcements.count(_kind_of_limit(news))
+        if news.fault is None and (
+            news.source == instance_observations.SOURCE_ANSWER
+        ):
+            self._notifier.add_limit(news, trio.current_time())
         change = news.change or instance_limits.Change(None, None)
         age = 0.0
         if news.statement is not None:
@@ -410,8 +423,24 @@
             if state != previous_state:
                 previous_state = state
                 self._update_view()
+            self._log_limit_shares()
             await trio.sleep(VIEW_CHECK_INTERVAL)
 
+    def _log_limit_shares(self) -> None:
+        view = self._limit_shares.view
+        for change in self._balancers.take_share_changes(trio.current_time()):
+            own_rate = change.own_rate
+            events.emit(
+                events.LIMIT_SHARE,
+                service=change.service,
+                instance_id=change.instance.id,
+                boot=change.instance.boot,
+                limit=change.limit,
+                own_rate=None if own_rate is None else round(own_rate, 3),
+                present=view.present_count,
+                lost=view.lost_count,
+            )
+
     def _update_view(self) -> None:
         """Update the entry points, the led instances and the retry bounds."""
         vms = [] if self._leaving else [self._own_vm]
@@ -435,6 +464,28 @@
         for name, led_ids in led_ids_by_service.items():
             self._balancers.set_led_instances(name, led_ids)
         self._set_retry_bounds()
+        self._set_limit_view()
+
+    def _set_limit_view(self) -> None:
+        """Set the view of the fleet that decides this VM's limit shares.
+
+        First peers that were never met may be behind a cut.
+        """
+        domains = {
+            instance.domain
+            for service in self._document.services_by_name.values()
+            for instance in service.instances
+        }
+        present_count = 1 + len(self.peers.present_members())
+        unmet_count = max(
+            0, len(self._settings.first_peers) - self.peers.known_count()
+        )
+        view = limit_shares.View(
+            {each: self._view.entry_points_of(each) for each in domains},
+            present_count,
+            max(self.peers.lost_count(), unmet_count),
+        )
+        self._limit_shares.set_view(view, trio.current_time())
 
     def _set_retry_bounds(self) -> None:
         """Set this VM's share of the fleet's retry budget."""
--- a/packages/proxy/src/primrosemill/proxy/headers.py
+++ b/packages/proxy/src/primrosemill/proxy/headers.py
@@ -34,6 +34,7 @@
 # for as long as the VM runs.
 MAX_PAUSE = 300.0  # seconds
 MAX_SHOWN_VALUE = 40  # bytes of an invalid value in the log
+LIMIT_STEPS = 1_000  # per request per second
 # A decimal number without sign or exponent, of a length that a float holds.
 _DECIMAL = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
@@ -169,7 +170,10 @@
 def parse_limit(
     values: list[bytes],
 ) -> expression.Result[float, InvalidLimit]:
-    """Return the lowest limit, in requests per second, of some values."""
+    """Return the lowest limit, in requests per second, of some values.
+
+    It is rounded down to thousandths, as VMs tell it to each other.
+    """
     for value in values:
         if _DECIMAL.fullmatch(value) is None:
             return expression.Error(
@@ -178,7 +182,8 @@
                     "no decimal number",
                 )
             )
-    return expression.Ok(min(float(value) for value in values))
+    lowest = min(float(value) for value in values)
+    return expression.Ok(math.floor(lowest * LIMIT_STEPS) / LIMIT_STEPS)
 
 
 def format_timeout(seconds: float) -> bytes:
--- a/packages/proxy/src/primrosemill/proxy/instance_observations.py
+++ b/packages/proxy/src/primrosemill/proxy/instance_observations.py
@@ -70,6 +70,18 @@
     fault: headers.InvalidLimit | None = None
 
 
+class LimitShare(typing.NamedTuple):
+    """The part of an instance's limit that this VM may use, in requests/s.
+
+    Both are None if the instance has no limit any more.
+    """
+
+    service: str
+    instance: documents.Instance
+    limit: float | None
+    own_rate: float | None
+
+
 OnBeliefUpdate = typing.Callable[[BeliefUpdate], None]
 OnDeparture = typing.Callable[[Departure], None]
 OnCrossing = typing.Callable[[instance_selection.Crossing], None]
--- a/packages/proxy/src/primrosemill/proxy/notifier.py
+++ b/packages/proxy/src/primrosemill/proxy/notifier.py
@@ -6,13 +6,16 @@
 reported recently. So the number of messages doesn't grow with the traffic.
 """
 
+import math
 import typing
 
 import trio
 
 from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import rate
 from primrosemill.fleet import messages
+from primrosemill.proxy import headers
 from primrosemill.proxy import instance_observations
 from primrosemill.telemetry import events
 
@@ -33,11 +36,22 @@
 SIGHTING_OVERHEAD = 24  # bytes of a sighting besides its two names
 MILLISECONDS_PER_SECOND = 1_000
 
+# Shortest time between two messages on the limit of an instance, which may
+# name another number in each answer.
+MIN_LIMIT_INTERVAL = 0.5  # seconds
+MAX_LIMITS = 16  # in one message
+LIMIT_OVERHEAD = 48  # bytes of a limit besides its two names
+
 Send = typing.Callable[
     [messages.Message, typing.Iterable[str]], typing.Awaitable[None]
 ]
 
 
+LimitsToRepeat = typing.Callable[
+    [float], list[instance_observations.LimitNews]
+]
+
+
 class Recipients(typing.Protocol):
     """Names the VMs that receive each kind of message."""
 
@@ -69,6 +83,7 @@
         ] = {}
         self._reported_at_by_id: dict[str, float] = {}
         self._failure_reported_at_by_id: dict[str, float] = {}
+        self._limit_told_at_by_id: dict[str, float] = {}
         self._cross_domain_rate = rate.Rate()
 
     def add_departure(
@@ -106,6 +121,40 @@
         ):
             self._successes_by_id[instance.id] = update
 
+    def add_limit(
+        self, news: instance_observations.LimitNews, now: float
+    ) -> None:
+        """Queue a message that an instance named or dropped a limit."""
+        told_at = self._limit_told_at_by_id.get(news.instance.id, -math.inf)
+        if now - told_at < MIN_LIMIT_INTERVAL:
+            return
+        self._limit_told_at_by_id[news.instance.id] = now
+        self._enqueue(
+            messages.Limits((_to_limit(news, now),)),
+            self._recipients.recipients_for(news.instance.domain),
+        )
+
+    async def repeat_limits(
+        self, limits_to_repeat: LimitsToRepeat, send: Send
+    ) -> None:
+        """Repeat limits to peers that may have missed them, until cancelled.
+
+        ``limits_to_repeat`` returns those that this VM has to repeat now.
+        """
+        while True:
+            await trio.sleep(instance_limits.REPEAT_INTERVAL)
+            now = trio.current_time()
+            news_by_domain: dict[
+                str, list[instance_observations.LimitNews]
+            ] = {}
+            for news in limits_to_repeat(now):
+                domain = news.instance.domain
+                news_by_domain.setdefault(domain, []).append(news)
+            for domain, domain_news in news_by_domain.items():
+                recipient_ids = self._recipients.recipients_for(domain)
+                for message in _limit_messages(domain_news, now):
+                    await send(message, recipient_ids)
+
     async def send_queued(self, send: Send) -> None:
         """Send queued messages as they come, until cancelled."""
         async for each in self._receive_channel:
@@ -140,12 +189,13 @@
         return batch
 
     def _drop_expired(self, now: float) -> None:
-        for reported_at_by_id in (
-            self._reported_at_by_id,
-            self._failure_reported_at_by_id,
+        for reported_at_by_id, interval in (
+            (self._reported_at_by_id, SUCCESS_REPEAT_INTERVAL),
+            (self._failure_reported_at_by_id, SUCCESS_REPEAT_INTERVAL),
+            (self._limit_told_at_by_id, MIN_LIMIT_INTERVAL),
         ):
             for instance_id, reported_at in list(reported_at_by_id.items()):
-                if now - reported_at >= SUCCESS_REPEAT_INTERVAL:
+                if now - reported_at >= interval:
                     del reported_at_by_id[instance_id]
 
     def _enqueue_failure(
@@ -179,6 +229,44 @@
             )
 
 
+def _limit_messages(
+    news: list[instance_observations.LimitNews], now: float
+) -> list[messages.Limits]:
+    """Return messages with limits that each fit into a datagram."""
+    batches: list[list[messages.InstanceLimit]] = []
+    bytes_left = 0
+    for each in news:
+        limit = _to_limit(each, now)
+        names = limit.service.encode() + limit.instance_id.encode()
+        bytes_left -= len(names) + LIMIT_OVERHEAD
+        if bytes_left < 0 or len(batches[-1]) == MAX_LIMITS:
+            batches.append([])
+            bytes_left = MAX_SIGHTINGS_BYTES - len(names) - LIMIT_OVERHEAD
+        batches[-1].append(limit)
+    return [messages.Limits(tuple(batch)) for batch in batches]
+
+
+def _to_limit(
+    news: instance_observations.LimitNews, now: float
+) -> messages.InstanceLimit:
+    instance, statement = news.instance, news.statement
+    milli_rate = None
+    if statement.rate is not None:
+        milli_rate = round(statement.rate * headers.LIMIT_STEPS)
+    return messages.InstanceLimit(
+        news.service,
+        instance.id,
+        instance.boot,
+        milli_rate,
+        _age_ms(statement.sent_at, now),
+        _age_ms(statement.received_at, now),
+    )
+
+
+def _age_ms(time: float, now: float) -> int:
+    return max(0, round((now - time) * MILLISECONDS_PER_SECOND))
+
+
 def _to_sighting(
     update: instance_observations.BeliefUpdate, now: float
 ) -> messages.Sighting:
@@ -187,8 +275,11 @@
         if update.failed
         else messages.SightingOutcome.GOOD
     )
-    age = max(0, round((now - update.observed_at) * MILLISECONDS_PER_SECOND))
     instance = update.instance
     return messages.Sighting(
-        update.service, instance.id, instance.boot, seen, age
+        update.service,
+        instance.id,
+        instance.boot,
+        seen,
+        _age_ms(update.observed_at, now),
     )
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -33,6 +33,7 @@
     on_change: feed_follower.ChangeHandler
     on_sightings: node.SightingsHandler
     on_departure: node.DepartureHandler
+    on_limits: node.LimitsHandler
 
 
 class Peers:
@@ -120,6 +121,21 @@
         table = self.node.membership.table
         return [table.members_by_id[vm_id] for vm_id in table.present_by_id]
 
+    def known_count(self) -> int:
+        """Return the number of known VMs, this one and gone ones included."""
+        if self.node.membership is None:
+            return 1
+        return 1 + len(self.node.membership.table.members_by_id)
+
+    def lost_count(self) -> int:
+        """Return the number of VMs that vanished without leaving."""
+        if self.node.membership is None:
+            return 0
+        return sum(
+            member.state is members.State.GONE and not member.entry.leaving
+            for member in self.node.membership.table.members_by_id.values()
+        )
+
     def member_statuses(self) -> list[status.MemberStatus]:
         """Return the other VMs of the fleet as this one sees them."""
         if self.node.membership is None:
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -309,6 +309,18 @@
         *("source", "request_id", "fault"),
     ),
 )
+LIMIT_SHARE = Event(
+    "PM4008",
+    "limit_share",
+    Level.INFO,
+    "This VM may now send an instance `own_rate` requests per second of the "
+    "`limit` that it named; null for any number. `present` and `lost` count "
+    "the VMs that are there and those that vanished.",
+    (
+        *("service", "instance_id", "boot", "limit", "own_rate"),
+        *("present", "lost"),
+    ),
+)
 MEMBER_CHANGED = Event(
     "PM5002",
     "member_changed",
@@ -369,6 +381,7 @@
     INSTANCE_LEAVING,
     INSTANCE_PAUSED,
     INSTANCE_LIMIT,
+    LIMIT_SHARE,
     NEWS_DROPPED,
     MEMBER_CHANGED,
     WATCH_CHANGED,
--- a/tests/decisions/test_announced_load.py
+++ b/tests/decisions/test_announced_load.py
@@ -1,4 +1,4 @@
-"""Balancing while instances announce that they leave or need a pause."""
+"""Balancing while instances leave, need a pause or limit their requests."""
 
 import random
 
@@ -6,13 +6,17 @@
 
 from primrosemill.decisions import allocation
 from primrosemill.decisions import dispatch
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_selection
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import slot_pool
 from tests.builders import load
 
 NON_IDEMPOTENT = instance_selection.Criteria(False)
 IDEMPOTENT = instance_selection.Criteria(True)
 PAUSED = outcomes.RefusalReason.INSTANCES_PAUSED
+LIMITED = outcomes.RefusalReason.INSTANCES_LIMITED
+ANSWERED = slot_pool.SlotOutcome.ANSWERED
 
 
 def records(count):
@@ -149,3 +153,131 @@
         granted = allocator.request_slot(request, 1.0)
         self.assertEqual("i-0", granted.instance.id)
         self.assertIsNone(allocator.acquire_spare(request, 1.0))
+
+
+class LimitTest(testtools.TestCase):
+    """All requests go through the same choice, so each one counts."""
+
+    def make(self, count, *rates):
+        allocator = allocation.Allocation(load.DOMAIN, random.Random(1), 0.0)
+        allocator.selector.set_instances(records(count), 0.0)
+        for number, rate in enumerate(rates):
+            allocator.selector.limits.record(
+                records(count)[number],
+                instance_limits.Statement(rate, 0.5, 1.0),
+            )
+        return allocator
+
+    def request(self, now, route=load.URGENT, **changes):
+        return dispatch.SlotRequest(
+            "caller", now + 2.5, route.idempotent, route=route, arrived_at=now
+        )._replace(**changes)
+
+    def test_requests_are_sent_evenly_at_the_limit(self):
+        allocator = self.make(1, 2.0)
+        self.assertIsNone(allocator.selector.choose(IDEMPOTENT, 1.4))
+        self.assertIsNotNone(allocator.selector.choose(IDEMPOTENT, 1.5))
+        self.assertIsNone(allocator.selector.choose(IDEMPOTENT, 1.9))
+        self.assertIsNotNone(allocator.selector.choose(IDEMPOTENT, 2.0))
+        # An idle time saves up no more than one request.
+        self.assertIsNotNone(allocator.selector.choose(IDEMPOTENT, 6.0))
+        self.assertIsNone(allocator.selector.choose(IDEMPOTENT, 6.4))
+
+    def test_hedges_and_retries_keep_to_the_limit(self):
+        allocator = self.make(2, 2.0)
+        only = frozenset({"i-0"})
+        hedge = self.request(1.5, allowed_ids=only)
+        self.assertIsNotNone(allocator.acquire_spare(hedge, 1.5))
+        self.assertIsNone(allocator.acquire_spare(hedge, 1.6))
+        retry = self.request(1.6, excluded_ids=frozenset({"i-1"}))
+        self.assertIsInstance(
+            allocator.request_slot(retry, 1.6), allocation.Waiting
+        )
+
+    def test_the_floor_keeps_to_the_limit(self):
+        """An instance that is due for a request counts as out of use."""
+        allocator = self.make(2, 1.0)
+        selector = allocator.selector
+        selector.set_led_ids(frozenset({"i-0", "i-1"}))
+        for _ in range(20):
+            selector.coverage.record(False, 1.0)
+        chosen_ids = [selector.choose(NON_IDEMPOTENT, 1.1).id for _ in (1, 2)]
+        self.assertEqual(["i-1", "i-1"], chosen_ids)
+
+    def test_other_instances_take_what_exceeds_the_limit(self):
+        allocator = self.make(2, 1.0)
+        ids = []
+        for step in range(300):
+            now = 2.0 + step / 30.0
+            granted = allocator.request_slot(self.request(now), now)
+            ids.append(granted.instance.id)
+            allocator.release(ids[-1], 0.0, ANSWERED, now)
+        self.assertEqual(300, len(ids))
+        self.assertLessEqual(ids.count("i-0"), 11)
+
+    def test_request_is_refused_at_once_if_its_turn_comes_too_late(self):
+        allocator = self.make(2, 0.1, 0.0)
+        refusals = [
+            allocator.request_slot(self.request(1.0), 1.0) for _ in range(20)
+        ]
+        self.assertEqual({LIMITED}, {each.reason for each in refusals})
+        for each in refusals:
+            self.assertTrue(0.0 < each.retry_after <= 1.5, each.retry_after)
+        self.assertEqual(0, allocator.waiting)
+
+    def test_queue_admits_only_what_the_limits_serve_in_time(self):
+        allocator = self.make(2, 4.0, 4.0)
+        answers = [
+            allocator.request_slot(self.request(1.2, load.PATIENT), 1.2)
+            for _ in range(60)
+        ]
+        waiting = sum(isinstance(each, allocation.Waiting) for each in answers)
+        # Eight requests a second, and 2.5 s until the deadline.
+        self.assertTrue(1 <= waiting <= 20, waiting)
+        granted_at, refused_at = [], []
+        for step in range(250):
+            now = 1.2 + step / 100.0
+            for wakeup in allocator.wake(now):
+                if not isinstance(wakeup.decision, allocation.Granted):
+                    refused_at.append(now)
+                    continue
+                granted_at.append(now)
+                instance_id = wakeup.decision.instance.id
+                allocator.release(instance_id, 0.0, ANSWERED, now)
+        self.assertEqual(waiting, len(granted_at) + len(refused_at))
+        self.assertGreater(len(granted_at), 2)
+        # Those that new requests would overtake are refused with time left.
+        self.assertLess(max(refused_at), 1.2 + 1.5)
+
+    def test_waiting_request_is_refused_if_a_limit_leaves_no_turn(self):
+        allocator = self.make(1)
+        for _ in range(4):
+            allocator.request_slot(self.request(1.0), 1.0)
+        self.assertEqual(1, allocator.waiting)
+        allocator.selector.limits.record(
+            records(1)[0], instance_limits.Statement(0.1, 1.0, 1.1)
+        )
+        (wakeup,) = allocator.wake(1.1)
+        self.assertIs(LIMITED, wakeup.decision.reason)
+
+    def test_pause_of_a_limited_instance_holds(self):
+        allocator = self.make(1, 5.0)
+        allocator.selector.record_pause("i-0", 0, 4.0, 1.0)
+        refusal = allocator.request_slot(self.request(2.0), 2.0)
+        self.assertIs(PAUSED, refusal.reason)
+
+    def test_large_body_crosses_if_the_own_domain_is_over_its_limit(self):
+        allocator = self.make(1, 0.1)
+        other = load.Instance(1).record._replace(domain="elsewhere")
+        allocator.selector.set_instances([*records(1), other], 1.0)
+        upload = load.URGENT._replace(large_bodies=True)
+        granted = allocator.request_slot(self.request(1.0, upload), 1.0)
+        self.assertEqual("i-1", granted.instance.id)
+
+    def test_unlimited_instance_is_chosen_as_before(self):
+        allocator = self.make(1, 2.0)
+        allocator.selector.limits.record(
+            records(1)[0], instance_limits.Statement(None, 1.1, 1.2)
+        )
+        ids = [allocator.selector.choose(IDEMPOTENT, 1.2) for _ in range(3)]
+        self.assertNotIn(None, ids)
--- a/tests/decisions/test_instance_limits.py
+++ b/tests/decisions/test_instance_limits.py
@@ -67,3 +67,83 @@
         first, last = INSTANCE._replace(boot=1), INSTANCE._replace(boot=number)
         self.assertIsNone(self.limits.rate(first))
         self.assertEqual(1.0, self.limits.rate(last))
+
+
+class Share:
+    """A share that a test sets, of a VM that may be the first holder."""
+
+    def __init__(self, share=1.0, is_first=False, delay=0.0):
+        self.value = share
+        self.is_first = is_first
+        self.delay = delay
+
+    def share(self, instance, rate, now):
+        return self.value
+
+    def is_first_holder(self, instance):
+        return self.is_first
+
+    def trial_delay(self, instance):
+        return self.delay
+
+
+class SendingTest(testtools.TestCase):
+    def limits(self, rate, **changes):
+        limits = instance_limits.InstanceLimits(Share(**changes))
+        limits.record(INSTANCE, statement(rate, 0.5, 1.0))
+        return limits
+
+    def test_requests_are_spaced_by_the_own_part(self):
+        limits = self.limits(2.0, share=0.5)
+        self.assertEqual(1.0, limits.own_rate(INSTANCE, 1.0))
+        self.assertEqual(2.0, limits.next_send_at(INSTANCE, 1.0))
+        limits.record_sent(INSTANCE, 2.5)
+        self.assertEqual(3.5, limits.next_send_at(INSTANCE, 2.5))
+
+    def test_changed_limit_applies_to_the_next_request(self):
+        limits = self.limits(2.0)
+        limits.record_sent(INSTANCE, 2.0)
+        limits.record(INSTANCE, statement(0.5, 2.0, 2.2))
+        self.assertEqual(4.0, limits.next_send_at(INSTANCE, 2.2))
+
+    def test_vm_without_a_part_sends_a_trial_if_nobody_had_an_answer(self):
+        limits = self.limits(2.0, share=0.0, delay=3.0)
+        due_at = 1.0 + instance_limits.TRIAL_AGE + 3.0
+        self.assertEqual(due_at, limits.next_send_at(INSTANCE, 1.0))
+        limits.record_sent(INSTANCE, due_at)
+        self.assertGreater(limits.next_send_at(INSTANCE, due_at), due_at)
+        change = limits.record(INSTANCE, statement(2.0, due_at, due_at + 0.1))
+        self.assertEqual((2.0, 2.0), change)
+        self.assertIsNone(
+            limits.record(INSTANCE, statement(2.0, due_at, due_at + 0.2))
+        )
+
+    def test_unlimited_instance_may_get_a_request_at_any_time(self):
+        limits = instance_limits.InstanceLimits()
+        self.assertFalse(limits.any_named)
+        self.assertLess(limits.next_send_at(INSTANCE, 0.0), 0.0)
+        limits.record_sent(INSTANCE, 0.0)
+        self.assertLess(limits.next_send_at(INSTANCE, 0.0), 0.0)
+
+
+class RepeatTest(testtools.TestCase):
+    def test_first_holder_repeats_a_limit_and_for_a_time_its_end(self):
+        limits = instance_limits.InstanceLimits(Share(is_first=True))
+        self.assertFalse(limits.is_to_repeat(INSTANCE, 0.0))
+        limits.record(INSTANCE, statement(2.0, 0.5, 1.0))
+        self.assertTrue(limits.is_to_repeat(INSTANCE, 1.0))
+        self.assertTrue(limits.is_to_repeat(INSTANCE, 500.0))
+        limits.record(INSTANCE, statement(None, 500.0, 501.0))
+        # Further answers without a limit don't prolong the time.
+        limits.record(INSTANCE, statement(None, 505.0, 506.0))
+        self.assertTrue(limits.is_to_repeat(INSTANCE, 505.0))
+        self.assertFalse(limits.is_to_repeat(INSTANCE, 512.0))
+
+    def test_other_vms_repeat_it_while_they_hear_nothing_of_it(self):
+        limits = instance_limits.InstanceLimits(Share())
+        limits.record(INSTANCE, statement(2.0, 0.5, 1.0))
+        silent_until = 1.0 + instance_limits.MAX_SILENCE
+        self.assertFalse(limits.is_to_repeat(INSTANCE, silent_until))
+        self.assertTrue(limits.is_to_repeat(INSTANCE, silent_until + 0.1))
+        limits.record_heard(INSTANCE, silent_until + 0.2)
+        self.assertFalse(limits.is_to_repeat(INSTANCE, silent_until + 0.3))
--- a/tests/platform/test_instance_limits.py
+++ b/tests/platform/test_instance_limits.py
@@ -2,9 +2,12 @@
 
 import random
 
+import eliot.testing
 import testtools
 import trio
 
+from primrosemill.telemetry import events
+from tests.builders import answers
 from tests.builders import users_platform as builders
 
 # The platform's rule: from this time after an instance first named its limit,
@@ -98,3 +101,81 @@
             self.assertGreater(len(other.arrived_at), len(limited.arrived_at))
 
         trio.run(main)
+
+
+def limit_events(logger):
+    return [
+        message
+        for message in logger.messages
+        if message["message_type"] == events.INSTANCE_LIMIT.number
+    ]
+
+
+class NewsTest(testtools.TestCase):
+    @eliot.testing.capture_logging(None)
+    def test_vm_without_requests_learns_of_a_limit_and_of_its_end(
+        self, logger
+    ):
+        async def main():
+            with trio.fail_after(builders.CHECK_TIMEOUT):
+                async with builders.running_fleet(2, count=1) as fleet:
+                    await check(*fleet)
+
+        def changes_by_source(source):
+            return [
+                (each["previous"], each["limit"])
+                for each in limit_events(logger)
+                if each["source"] == source
+            ]
+
+        async def call_until_heard(vm, expected):
+            number = 0
+            while changes_by_source("peer") != expected:
+                number += 1
+                await builders.call(vm, builders.READ_PATH, f"r{number}")
+                await trio.sleep(0.1)
+
+        async def check(vm, idle_vm):
+            # At once, so that a VM that does not know the other yet has to
+            # repeat what it read.
+            (instance,) = vm.instances
+            instance.limit = b"50"
+            await call_until_heard(vm, [(None, 50.0)])
+            instance.limit = None
+            await call_until_heard(vm, [(None, 50.0), (50.0, None)])
+            self.assertEqual(
+                [(None, 50.0), (50.0, None)], changes_by_source("answer")
+            )
+
+        trio.run(main)
+
+    @eliot.testing.capture_logging(None)
+    def test_invalid_limit_is_logged_once_and_ignored(self, logger):
+        async def check(built):
+            for each in built.instances:
+                each.limit = b"-1"
+            for number in range(20):
+                response = await builders.call(
+                    built, builders.READ_PATH, f"r{number}"
+                )
+                self.assertEqual(200, response.status)
+            logged = limit_events(logger)
+            self.assertLessEqual(len(logged), len(built.instances))
+            self.assertIn("no decimal number", logged[0]["fault"])
+
+        builders.run(check)
+
+    def test_request_is_refused_at_once_if_the_limit_leaves_no_turn(self):
+        async def check(built):
+            (instance,) = built.instances
+            instance.limit = b"0.1"
+            await builders.call(built, builders.READ_PATH, "r0")
+            started = trio.current_time()
+            response = await builders.call(built, builders.READ_PATH, "r1")
+            self.assertLess(trio.current_time() - started, 0.2)
+            self.assertEqual(503, response.status)
+            reason = answers.header(response, "x-outcome-reason")
+            self.assertEqual("instances_limited", reason)
+            self.assertEqual(1, len(instance.runs))
+
+        builders.run(check, count=1)
--- a/tests/proxy/test_notifier.py
+++ b/tests/proxy/test_notifier.py
@@ -1,8 +1,10 @@
 import testtools
 import trio
+import trio.testing
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import instance_limits
 from primrosemill.fleet import messages
 from primrosemill.fleet import wire
 from primrosemill.proxy import instance_observations
@@ -121,3 +123,64 @@
             size = len(sealer.seal(message))
             self.assertLess(size, wire.DATAGRAM_SIZE_LIMIT)
         self.assertTrue(sent)
+
+
+class LimitsTest(testtools.TestCase):
+    def news(self, number=0, rate=2.5, received_at=9.0):
+        return instance_observations.LimitNews(
+            "reservations",
+            update(number=number).instance,
+            instance_observations.SOURCE_ANSWER,
+            instance_limits.Change(None, rate),
+            instance_limits.Statement(rate, received_at - 0.5, received_at),
+        )
+
+    def run_notifier(self, added=(), repeated=()):
+        """Return what is sent: news added at a time, and what is repeated."""
+        sent = []
+
+        async def send_message(message, vm_ids):
+            self.assertEqual(ALL_DOMAINS, tuple(vm_ids))
+            sent.append(message)
+
+        async def main():
+            notifier = notifiers.Notifier("a", Recipients())
+            for at, news in added:
+                notifier.add_limit(news, at)
+            with trio.move_on_after(
+                1.5 * instance_limits.REPEAT_INTERVAL if repeated else 0.05
+            ):
+                if repeated:
+                    await notifier.repeat_limits(
+                        lambda now: list(repeated), send_message
+                    )
+                await notifier.send_queued(send_message)
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return sent
+
+    def test_limit_is_sent_to_all_domains_with_its_ages(self):
+        (message,) = self.run_notifier([(10.0, self.news())])
+        self.assertEqual(
+            (("reservations", "i-0", 7, 2_500, 1_500, 1_000),), message.limits
+        )
+
+    def test_dropped_limit_is_sent(self):
+        (message,) = self.run_notifier([(10.0, self.news(rate=None))])
+        self.assertIsNone(message.limits[0].milli_rate)
+
+    def test_limit_that_changes_with_each_answer_is_sent_at_intervals(self):
+        added = [
+            (10.0 + number / 10, self.news(rate=float(number)))
+            for number in range(10)
+        ]
+        self.assertEqual(2, len(self.run_notifier(added)))
+
+    def test_limits_are_repeated_in_messages_that_fit_a_datagram(self):
+        news = [self.news(number) for number in range(100)]
+        sent = self.run_notifier(repeated=news)
+        self.assertEqual(100, sum(len(each.limits) for each in sent))
+        for message in sent:
+            self.assertLessEqual(len(message.limits), 16)
+            sealed = fleet.sealer().seal(message)
+            self.assertLess(len(sealed), wire.DATAGRAM_SIZE_LIMIT)
