--- a/packages/decisions/src/primrosemill/decisions/instance_limits.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_limits.py
@@ -22,12 +22,12 @@
 # platform's target is 10,000 instances.
 MAX_REMEMBERED = 10_000
 # Interval at which the first holder tells the other VMs of a limit.
-REPEAT_INTERVAL = 2.0  # seconds
+REPEAT_INTERVAL = 5.0  # seconds
 # Time without a report from a peer after which any VM repeats what it knows:
 # the first holder may not have heard of the limit.
-MAX_SILENCE = 2.5 * REPEAT_INTERVAL
+MAX_SILENCE = 1.5 * REPEAT_INTERVAL
 # Time for which VMs are told again that an instance has dropped its limit.
-DROP_REPEAT_TIME = 10.0  # seconds
+DROP_REPEAT_TIME = 3.0 * REPEAT_INTERVAL
 # Age of a statement at which a VM without a share may send one request: the
 # VMs with a share have had no answer since, so a limit that has ended would
 # go unnoticed.
