Tell a VM that starts of the limits of instances at once

A process that had just started knew no limit until its first answers, or until the next repeat up to 5 s later, and used a limited instance up to its slots meanwhile; in a rolling restart each VM in turn. Now the VM that keeps the others informed sends it the limits as soon as it accepts callers.

The test fails without that: the started VM heard after more than half of the interval of repeats. Its builder can now start a VM of a fleet later.

--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -7,6 +7,7 @@
 
 import http
 import random
+import typing
 
 import prometheus_client
 import trio
@@ -56,6 +57,13 @@
 STATES_ACCEPTING_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
+class _Process(typing.NamedTuple):
+    """One run of the process of another VM."""
+
+    vm_id: str
+    incarnation: int
+
+
 class EntryVm:
     """Connects the servers of an entry VM to its decisions and runs them."""
 
@@ -124,6 +132,7 @@
         )
         self._document = documents.empty_document(settings.fleet)
         self._view = entry_view.EntryView(self._own_vm)
+        self._known_processes: frozenset[_Process] = frozenset()
         self._leaving = False
         self._run_scope = trio.CancelScope()
         self._stopper = shutdown.Stopper(
@@ -458,6 +467,7 @@
             if not instance.leaving
         )
         self._view.update(tuple(vms), slots)
+        self._inform_newcomers()
         led_ids_by_service = self._view.changed_leads(
             self._document.services_by_name
         )
@@ -466,6 +476,27 @@
         self._set_retry_bounds()
         self._set_limit_view()
 
+    def _inform_newcomers(self) -> None:
+        """Tell processes that accept callers since now of instances' limits.
+
+        They would exceed a limit until their first answer that names it.
+        """
+        processes = frozenset(
+            _Process(member.entry.vm_id, member.entry.incarnation)
+            for member in self.peers.present_members()
+            if member.state in STATES_ACCEPTING_CALLERS
+        )
+        newcomers = processes - self._known_processes
+        self._known_processes = processes
+        if not newcomers:
+            return
+        now = trio.current_time()
+        self._notifier.add_newcomers(
+            sorted(each.vm_id for each in newcomers),
+            self._balancers.limits_to_repeat(now),
+            now,
+        )
+
     def _set_limit_view(self) -> None:
         """Set the view of the fleet that decides this VM's limit shares.
 
--- a/packages/proxy/src/primrosemill/proxy/notifier.py
+++ b/packages/proxy/src/primrosemill/proxy/notifier.py
@@ -134,6 +134,16 @@
             self._recipients.recipients_for(news.instance.domain),
         )
 
+    def add_newcomers(
+        self,
+        vm_ids: typing.Iterable[str],
+        limits: list[instance_observations.LimitNews],
+        now: float,
+    ) -> None:
+        """Queue messages that tell VMs which have just started of limits."""
+        for message in _limit_messages(limits, now):
+            self._enqueue(message, tuple(vm_ids))
+
     async def repeat_limits(
         self, limits_to_repeat: LimitsToRepeat, send: Send
     ) -> None:
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -130,55 +130,76 @@
     addresses: list[str]
 
 
+class Fleet:
+    """Entry VMs on one platform, each with a number from 1 on."""
+
+    def __init__(
+        self, nursery: trio.Nursery, store: users_store.StoreStandin
+    ) -> None:
+        self.store = store
+        self.instances: list[users_instance.InstanceStandin] = []
+        self.vms: list[Running] = []
+        self._nursery = nursery
+        self._store_address = ""
+        self._addresses: list[str] = []
+
+    async def start_platform(self, count: int, document: dict | None) -> None:
+        """Start the store and some instances."""
+        served = await self._nursery.start(asgi.serve, self.store, IP)
+        self._store_address = served.address
+        for number in range(count):
+            instance = users_instance.InstanceStandin(f"i-{number}")
+            endpoint = await self._nursery.start(instance.serve, IP)
+            self.instances.append(instance)
+            self._addresses.append(endpoint.address)
+            self.store.put_json(
+                f"servers/{instance.id}", entry(endpoint.address)
+            )
+        self.store.put_json("op/config", document or configuration())
+
+    async def start_vm(self, **changes: typing.Any) -> Running:
+        """Start a VM, which joins the others, and wait until it serves."""
+        number = len(self.vms) + 1
+        vm_settings = settings(
+            self._store_address,
+            vm_id=f"entry-{number}",
+            first_peers=tuple(
+                each.settings.peer_address for each in self.vms[:1]
+            ),
+        )._replace(**changes)
+        vm = entry_vm.EntryVm(
+            vm_settings,
+            adapter.make_adapter(vm_settings.feed_address),
+            random.Random(number),
+        )
+        self._nursery.start_soon(vm.run)
+        built = Running(
+            vm, vm_settings, self.store, self.instances, self._addresses
+        )
+        await wait_until_ready(built)
+        self.vms.append(built)
+        return built
+
+
 @contextlib.asynccontextmanager
 async def running(
     count: int = 2, document: dict | None = None, **changes: typing.Any
 ):
     """Run a VM with some instances and yield it when it serves."""
-    async with running_fleet(1, count, document, **changes) as (built,):
-        yield built
+    async with running_fleet(0, count, document) as fleet:
+        yield await fleet.start_vm(**changes)
 
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    vm_count: int,
-    count: int = 2,
-    document: dict | None = None,
-    **changes: typing.Any,
+    vm_count: int, count: int = 2, document: dict | None = None
 ):
-    """Run VMs of one fleet with some instances; yield them once they serve."""
-    store = users_store.StoreStandin()
-    instances = [
-        users_instance.InstanceStandin(f"i-{number}")
-        for number in range(count)
-    ]
+    """Run VMs with some instances and yield the fleet when they serve."""
     async with trio.open_nursery() as nursery:
-        served = await nursery.start(asgi.serve, store, IP)
-        addresses = []
-        for instance in instances:
-            endpoint = await nursery.start(instance.serve, IP)
-            addresses.append(endpoint.address)
-            store.put_json(f"servers/{instance.id}", entry(endpoint.address))
-        store.put_json("op/config", document or configuration())
-        fleet: list[Running] = []
-        for number in range(1, vm_count + 1):
-            first_peers = tuple(
-                each.settings.peer_address for each in fleet[:1]
-            )
-            vm_settings = settings(
-                served.address,
-                vm_id=f"entry-{number}",
-                first_peers=first_peers,
-            )._replace(**changes)
-            vm = entry_vm.EntryVm(
-                vm_settings,
-                adapter.make_adapter(vm_settings.feed_address),
-                random.Random(number),
-            )
-            nursery.start_soon(vm.run)
-            built = Running(vm, vm_settings, store, instances, addresses)
-            await wait_until_ready(built)
-            fleet.append(built)
+        fleet = Fleet(nursery, users_store.StoreStandin())
+        await fleet.start_platform(count, document)
+        for _ in range(vm_count):
+            await fleet.start_vm()
         yield fleet
         nursery.cancel_scope.cancel()
 
--- a/tests/platform/test_instance_limits.py
+++ b/tests/platform/test_instance_limits.py
@@ -6,6 +6,7 @@
 import testtools
 import trio
 
+from primrosemill.decisions import instance_limits
 from primrosemill.telemetry import events
 from tests.builders import answers
 from tests.builders import users_platform as builders
@@ -61,7 +62,7 @@
     """Send requests to all VMs and return the statuses."""
     statuses = []
     async with trio.open_nursery() as nursery:
-        for number, built in enumerate(fleet):
+        for number, built in enumerate(fleet.vms):
             nursery.start_soon(
                 send_steadily, built, seconds, f"vm{number}", statuses
             )
@@ -78,8 +79,8 @@
                     await check(fleet)
 
         async def check(fleet):
-            limited, other = fleet[0].instances
-            for each in fleet[0].instances:
+            limited, other = fleet.instances
+            for each in fleet.instances:
                 each.pause = SERVICE_TIME
             limited.limit = str(LIMIT).encode()
             started = trio.current_time()
@@ -119,7 +120,7 @@
         async def main():
             with trio.fail_after(builders.CHECK_TIMEOUT):
                 async with builders.running_fleet(2, count=1) as fleet:
-                    await check(*fleet)
+                    await check(fleet)
 
         def changes_by_source(source):
             return [
@@ -135,10 +136,11 @@
                 await builders.call(vm, builders.READ_PATH, f"r{number}")
                 await trio.sleep(0.1)
 
-        async def check(vm, idle_vm):
+        async def check(fleet):
             # At once, so that a VM that does not know the other yet has to
             # repeat what it read.
-            (instance,) = vm.instances
+            vm = fleet.vms[0]
+            (instance,) = fleet.instances
             instance.limit = b"50"
             await call_until_heard(vm, [(None, 50.0)])
             instance.limit = None
@@ -149,6 +151,30 @@
 
         trio.run(main)
 
+    @eliot.testing.capture_logging(None)
+    def test_vm_that_starts_learns_of_a_limit_before_its_first_request(
+        self, logger
+    ):
+        async def main():
+            with trio.fail_after(builders.CHECK_TIMEOUT):
+                async with builders.running_fleet(1, count=1) as fleet:
+                    await check(fleet)
+
+        async def check(fleet):
+            fleet.instances[0].limit = b"50"
+            await builders.call(fleet.vms[0], builders.READ_PATH, "r0")
+            started = trio.current_time()
+            await fleet.start_vm()
+            while len(limit_events(logger)) < 2:
+                await trio.sleep(0.05)
+            self.assertLess(
+                trio.current_time() - started,
+                instance_limits.REPEAT_INTERVAL / 2,
+            )
+            self.assertEqual("peer", limit_events(logger)[1]["source"])
+
+        trio.run(main)
+
     @eliot.testing.capture_logging(None)
     def test_invalid_limit_is_logged_once_and_ignored(self, logger):
         async def check(built):
