Share one reserve of retries between the sides of a cut

In a cut between failure domains each side saw only its own and granted the whole reserve, up to the number of sides times it, over the rule BUDGET if all of them spend it.

A VM now takes its part times the fraction of the fleet that it sees. The test of the three domains' sums gave 96 where 48 are allowed without that factor, in a cut in two. The part of a VM is worked out in decisions/retry_budget.py.

--- a/packages/decisions/src/primrosemill/decisions/retry_budget.py
+++ b/packages/decisions/src/primrosemill/decisions/retry_budget.py
@@ -1,9 +1,39 @@
 """A budget that limits the retries and hedges of a service."""
 
+import typing
+
 from primrosemill.decisions import dispatch
 
 RETRY_SHARE = 0.15  # further attempts earned per request
 RESERVE = 10.0  # attempts that an idle service may spend at once
+# Fraction of the fleet's retry budget that the VMs may use. The rest is a
+# margin, because their views of the fleet's size may differ for a short time.
+FLEET_FRACTION = 0.8
+# The reserve of a VM that is not an entry point is that of an entry point
+# divided by this: only callers with older directions send requests to it.
+NON_ENTRY_POINT_DIVISOR = 4
+MIN_RESERVE = 1.0  # attempts; less would never allow a retry
+
+
+class FleetView(typing.NamedTuple):
+    """What a VM knows of its fleet; it decides the VM's part of a reserve.
+
+    ``entry_point_count`` is over all failure domains. ``seen_fraction`` is
+    the fraction of the fleet's VMs that are there: the others may go on
+    behind a cut, with their own parts.
+    """
+
+    entry_point_count: int
+    is_entry_point: bool
+    seen_fraction: float
+
+
+def vm_reserve(fleet_reserve: float, view: FleetView) -> float:
+    """Return the attempts of a fleet's reserve that one VM may spend."""
+    part = FLEET_FRACTION * fleet_reserve / view.entry_point_count
+    if not view.is_entry_point:
+        part /= NON_ENTRY_POINT_DIVISOR
+    return max(MIN_RESERVE, part * view.seen_fraction)
 
 
 class RetryBudget:
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -18,6 +18,7 @@
 from primrosemill.decisions import home_vms
 from primrosemill.decisions import instance_limits
 from primrosemill.decisions import limit_shares
+from primrosemill.decisions import retry_budget
 from primrosemill.fleet import members
 from primrosemill.fleet import messages
 from primrosemill.fleet import mirror
@@ -48,12 +49,6 @@
 SERVE_FRACTION = 0.5
 # Fraction of the stop timeout that is reserved for the process to exit.
 EXIT_FRACTION = 0.08
-# Fraction of the fleet's retry budget that the VMs may use. The rest is a
-# margin, because their views of the fleet's size may differ for a short time.
-RETRY_BUDGET_FRACTION = 0.8
-# The retry budget of a VM that is not an entry point is that of an entry point
-# divided by this: only callers with older directions send requests to it.
-NON_ENTRY_POINT_BUDGET_DIVISOR = 4
 STATES_ACCEPTING_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
@@ -473,8 +468,8 @@
         )
         for name, led_ids in led_ids_by_service.items():
             self._balancers.set_led_instances(name, led_ids)
-        self._set_retry_bounds()
         self._set_limit_view()
+        self._set_retry_bounds()
 
     def _inform_newcomers(self) -> None:
         """Tell processes that accept callers since now of instances' limits.
@@ -521,19 +516,14 @@
     def _set_retry_bounds(self) -> None:
         """Set this VM's share of the fleet's retry budget."""
         entry_points = self._view.entry_points
-        share_count = max(1, self._view.domain_count) * max(
-            1, len(entry_points)
+        view = retry_budget.FleetView(
+            max(1, self._view.domain_count) * max(1, len(entry_points)),
+            self._own_vm in entry_points,
+            self._limit_shares.view.seen_fraction,
         )
-        if self._own_vm not in entry_points:
-            share_count *= NON_ENTRY_POINT_BUDGET_DIVISOR
         self._retries.set_bounds(
-            RETRY_BUDGET_FRACTION * self._settings.retry_share,
-            max(
-                1.0,
-                RETRY_BUDGET_FRACTION
-                * self._settings.retry_slack
-                / share_count,
-            ),
+            retry_budget.FLEET_FRACTION * self._settings.retry_share,
+            retry_budget.vm_reserve(self._settings.retry_slack, view),
         )
 
 
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -118,6 +118,42 @@
         self.assertLessEqual(attempts, allowed + retry_budget.RESERVE)
 
 
+class FleetReserveTest(testtools.TestCase):
+    # Guards against a reserve that each side of a cut grants in full.
+    RESERVE = 60.0
+    DOMAINS = 3
+    POINTS = 2  # in each failure domain
+
+    def sum_over_sides(self, sides):
+        """Return the sum of the entry points' reserves over sides of a cut.
+
+        Each side is the number of failure domains in it.
+        """
+        return sum(
+            domains
+            * self.POINTS
+            * retry_budget.vm_reserve(
+                self.RESERVE,
+                retry_budget.FleetView(
+                    domains * self.POINTS, True, domains / self.DOMAINS
+                ),
+            )
+            for domains in sides
+        )
+
+    def test_entry_points_share_one_reserve(self):
+        self.assertAlmostEqual(48.0, self.sum_over_sides((3,)))
+
+    def test_sides_of_a_cut_share_one_reserve(self):
+        for sides in ((2, 1), (1, 1, 1)):
+            self.assertAlmostEqual(48.0, self.sum_over_sides(sides))
+
+    def test_vm_that_is_no_entry_point_has_a_smaller_part(self):
+        view = retry_budget.FleetView(6, False, 1.0)
+        self.assertEqual(2.0, retry_budget.vm_reserve(self.RESERVE, view))
+        self.assertEqual(1.0, retry_budget.vm_reserve(0.0, view))
+
+
 class HedgingTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
