--- a/tests/platform/test_instance_limits.py
+++ b/tests/platform/test_instance_limits.py
@@ -22,6 +22,8 @@
 RATE_PER_VM = 8.0  # requests per second
 SERVICE_TIME = 0.2  # seconds; all instances are needed at the above rate
 LIMIT = 2.0  # requests per second
+# Until a VM that vanished is gone for the others; docs/design/membership.md.
+LOSS_TIME = 5.0  # seconds
 
 
 def allowed(limit):
@@ -205,3 +207,55 @@
             self.assertEqual(1, len(instance.runs))
 
         builders.run(check, count=1)
+
+
+class LostVmTest(testtools.TestCase):
+    # Guards against a limit that the VMs behind a cut and the others each
+    # use in full: a VM that vanished may go on elsewhere.
+    LIMIT = 30.0  # requests per second
+
+    def play(self, logger, end_vm):
+        """Let the last of three VMs end; return the parts logged then.
+
+        These are pairs of requests per second and vanished VMs.
+        """
+
+        def parts():
+            return [
+                (message["own_rate"], message["lost"])
+                for message in logger.messages
+                if message["message_type"] == events.LIMIT_SHARE.number
+            ]
+
+        async def main():
+            with trio.fail_after(builders.CHECK_TIMEOUT):
+                async with builders.running_fleet(2, count=1) as fleet:
+                    last = await fleet.start_vm(stop_seconds=1.0)
+                    fleet.instances[0].limit = str(self.LIMIT).encode()
+                    await builders.call(fleet.vms[0], builders.READ_PATH)
+                    # The two entry points hold half of the limit each.
+                    while parts().count((self.LIMIT / 2, 0)) < 2:
+                        await trio.sleep(0.1)
+                    count = len(parts())
+                    await end_vm(last.vm)
+                    await trio.sleep(LOSS_TIME)
+                    return parts()[count:]
+
+        return trio.run(main)
+
+    @eliot.testing.capture_logging(None)
+    def test_part_falls_when_a_vm_vanishes(self, logger):
+        async def crash(vm):
+            vm.stop_immediately("test")
+
+        parts = self.play(logger, crash)
+        self.assertIn((10.0, 1), parts)
+        self.assertLessEqual({rate for rate, lost in parts if lost}, {0, 10.0})
+
+    @eliot.testing.capture_logging(None)
+    def test_part_stays_when_a_vm_leaves(self, logger):
+        async def leave(vm):
+            await vm.stop("test")
+
+        parts = self.play(logger, leave)
+        self.assertEqual([], [each for each in parts if each[1]])
