Play limits of instances in the load patterns

Two patterns, in virtual time and without a network: a quarter of the instances name a limit, and all of them limits of half the load. The rule's window and bound stand once in the builders of tests.

--- a/packages/measure/src/primrosemill/measure/load_instances.py
+++ b/packages/measure/src/primrosemill/measure/load_instances.py
@@ -24,6 +24,9 @@
         self.lost: Intervals = ()
         self.silent: Intervals = ()
         self.slow: Intervals = ()
+        self.limited: Intervals = ()
+        # Times of the requests that were sent to it.
+        self.arrivals: list[float] = []
         self.running = 0
         self.queue: list[tuple] = []
 
@@ -88,6 +91,8 @@
     if pattern.slow_factor > 1.0:
         for instance in instances[: round(pattern.slow_share * count)]:
             instance.slow = intervals
+    for instance in instances[: round(pattern.limited_share * count)]:
+        instance.limited = intervals
     for instance in instances:
         if pattern.lost_domain and instance.record.domain == "d0":
             instance.lost = intervals
--- a/packages/measure/src/primrosemill/measure/load_patterns.py
+++ b/packages/measure/src/primrosemill/measure/load_patterns.py
@@ -41,9 +41,10 @@
     The incident begins at ``incident_start`` and lasts ``incident_duration``.
     Meanwhile the arrival rates are multiplied by ``burst_factor``, instances
     shed ``shed_share`` of the attempts, and some of the instances cannot be
-    reached (``lost_share``), never answer (``silent_share``) or are slower by
-    ``slow_factor`` (``slow_share``). With ``lost_domain``, all instances of
-    the first domain cannot be reached.
+    reached (``lost_share``), never answer (``silent_share``), are slower by
+    ``slow_factor`` (``slow_share``) or name a limit of ``limit_rate`` requests
+    per second (``limited_share``). With ``lost_domain``, all instances of the
+    first domain cannot be reached.
 
     A refused caller sends its request again at once, up to
     ``max_resubmissions`` times.
@@ -68,6 +69,8 @@
     silent_share: float = 0.0
     slow_factor: float = 1.0
     slow_share: float = 0.25
+    limited_share: float = 0.0
+    limit_rate: float = 2.0
     max_resubmissions: int = 0
     lost_domain: bool = False
 
@@ -88,6 +91,13 @@
     Pattern("a quarter is lost", BOTH, lost_share=0.25),
     Pattern("a quarter is silent", BOTH, silent_share=0.25),
     Pattern("a quarter is slow", BOTH, slow_factor=5.0),
+    Pattern("a quarter is limited", BOTH, limited_share=0.25),
+    Pattern(
+        "all are limited to half the load",
+        BOTH,
+        limited_share=1.0,
+        limit_rate=1.5,
+    ),
     Pattern(
         "callers return at once",
         NEARLY_FULL,
--- a/packages/measure/src/primrosemill/measure/load_simulation.py
+++ b/packages/measure/src/primrosemill/measure/load_simulation.py
@@ -17,7 +17,9 @@
 from primrosemill.decisions import dispatch
 from primrosemill.decisions import entry_points
 from primrosemill.decisions import home_vms
+from primrosemill.decisions import instance_limits
 from primrosemill.decisions import instance_usage
+from primrosemill.decisions import limit_shares
 from primrosemill.decisions import priority_queue
 from primrosemill.decisions import retry_budget
 from primrosemill.decisions import slot_pool
@@ -118,6 +120,12 @@
         for entry_vm in entry_vms:
             vm_allocation = make_allocation(self, domain)
             vm_allocation.selector.set_instances(records, 0.0)
+            shares = limit_shares.LimitShares(entry_vm.id)
+            view = limit_shares.View({domain: entry_vms}, len(entry_vms))
+            shares.set_view(view, -limit_shares.VIEW_SETTLE_TIME)
+            vm_allocation.selector.limits = instance_limits.InstanceLimits(
+                shares
+            )
             led_ids = entry_points.led_ids(entry_vm, entry_vms, records)
             vm_allocation.selector.set_led_ids(led_ids)
             budget = retry_budget.RetryBudget(RETRY_SHARE, RETRY_RESERVE)
@@ -203,6 +211,7 @@
             self._finish(now, request, False, False)
             return
         instance = self.instances_by_id[decision.instance.id]
+        instance.arrivals.append(now)
         self.attempts += 1
         self.repeats += bool(request.attempts)
         self.crossings += instance.record.domain != request.vm.domain
@@ -290,6 +299,7 @@
         vm_allocation = request.vm.allocation
         vm_allocation.selector.record_load(instance.record.id, load, now)
         self._record_answer(now, request, instance, sent_at)
+        self._record_limit(now, request.vm, instance, sent_at)
         deadline = request.arrived_at + request.route.deadline
         self._finish(now, request, now <= deadline, now > deadline)
         self._start_next(now, instance)
@@ -334,6 +344,44 @@
                     sent_at,
                 )
 
+    def _record_limit(
+        self,
+        now: float,
+        vm: Vm,
+        instance: load_instances.Instance,
+        sent_at: float,
+    ) -> None:
+        """Record the limit that an answer names, and report a change."""
+        rate = None
+        if load_instances.covers(instance.limited, now):
+            rate = self.pattern.limit_rate
+        statement = instance_limits.Statement(rate, sent_at, now)
+        change = vm.allocation.selector.limits.record(
+            instance.record, statement
+        )
+        if change is None or self.pattern.report_delay is None:
+            return
+        for vms in self._vms_by_domain.values():
+            for other in vms:
+                if other is vm:
+                    continue
+                self._schedule(
+                    now + self.pattern.report_delay,
+                    self._receive_limit,
+                    other,
+                    instance.record,
+                    statement,
+                )
+
+    def _receive_limit(
+        self,
+        now: float,
+        vm: Vm,
+        instance: documents.Instance,
+        statement: instance_limits.Statement,
+    ) -> None:
+        vm.allocation.selector.limits.record(instance, statement)
+
     def _receive_success(
         self, now: float, vm: Vm, instance_id: str, sent_at: float
     ) -> None:
--- a/tests/builders/limits.py
+++ b/tests/builders/limits.py
@@ -1,8 +1,9 @@
 """Builds a simulated fleet of VMs before one instance that names a limit.
 
-Time is virtual and in seconds. Each VM has its own view of the fleet, which
-the test sets, and learns of the limit from its own answers and from what the
-VMs in touch with it report.
+The platform's rule for such an instance is here, too. Time is virtual and in
+seconds. Each VM has its own view of the fleet, which the test sets, and learns
+of the limit from its own answers and from what the VMs in touch with it
+report.
 """
 
 import itertools
@@ -19,7 +20,29 @@
 STEP = 0.01  # seconds
 SERVICE_TIME = 0.05  # seconds
 REPORT_DELAY = 0.02  # seconds until a report reaches another VM
+# The platform's rule: from this time after an instance first named its limit,
+# no window has more than the limit allows, times a factor, and some requests.
+STABLE_WINDOW = 3.0  # seconds
 WINDOW = 4.0  # seconds
+ALLOWED_FACTOR = 1.5
+ALLOWED_REQUESTS = 5
+
+
+def allowed(limit):
+    """Return the requests that the rule allows in a window."""
+    return ALLOWED_FACTOR * limit * WINDOW + ALLOWED_REQUESTS
+
+
+def most_in_window(times, start=0.0):
+    """Return the highest number of times in any window after the start."""
+    counted = [time for time in times if time >= start]
+    return max(
+        (
+            sum(first <= time < first + WINDOW for time in counted)
+            for first in counted
+        ),
+        default=0,
+    )
 
 
 class Vm:
@@ -96,17 +119,6 @@
                 if vm.running and self.generator.random() < rate_per_vm * STEP:
                     self._send(vm)
 
-    def most_in_window(self, start=0.0):
-        """Return the highest number of arrivals in any window."""
-        counted = [time for time in self.arrived_at if time >= start]
-        return max(
-            (
-                sum(first <= time < first + WINDOW for time in counted)
-                for first in counted
-            ),
-            default=0,
-        )
-
     def _send(self, vm):
         """Send a request, by a hedge's or an ordinary choice."""
         number = next(self._number)
--- a/tests/decisions/test_limit_shares.py
+++ b/tests/decisions/test_limit_shares.py
@@ -9,23 +9,18 @@
 from tests.builders import limits
 from tests.builders import load
 
-# The platform's rule for a window of 4 s.
-ALLOWED_FACTOR = 1.5
-ALLOWED_REQUESTS = 5
-LEARNING_TIME = 3.0  # seconds in which the rule does not hold yet
 SETTLE_TIME = limit_shares.VIEW_SETTLE_TIME
 # Times after a cut at which the VMs notice that others are gone.
 NOTICE_TIME = 2.0  # seconds
 ALONE_NOTICE_TIME = 5.0  # seconds, for a VM that is cut off from all others
 
 
-def allowed(limit):
-    return ALLOWED_FACTOR * limit * limits.WINDOW + ALLOWED_REQUESTS
-
-
 class LimitCase(testtools.TestCase):
-    def assert_kept(self, fleet, limit, start=LEARNING_TIME):
-        self.assertLessEqual(fleet.most_in_window(start), allowed(limit))
+    def assert_kept(self, fleet, limit, start=limits.STABLE_WINDOW):
+        self.assertLessEqual(
+            limits.most_in_window(fleet.arrived_at, start),
+            limits.allowed(limit),
+        )
 
 
 class SteadyFleetTest(LimitCase):
@@ -40,7 +35,9 @@
     def test_limit_of_zero_gets_a_rare_trial_and_no_more(self):
         fleet = limits.Fleet(6, 0.0)
         fleet.play(90.0)
-        late = [time for time in fleet.arrived_at if time >= LEARNING_TIME]
+        late = [
+            time for time in fleet.arrived_at if time >= limits.STABLE_WINDOW
+        ]
         self.assertGreater(len(late), 0)
         self.assertLess(len(late), 8)
 
@@ -68,7 +65,7 @@
         for cycle in range(4):
             fleet.limit = 2.0
             fleet.play(8.0)
-            self.assert_kept(fleet, 2.0, cycle * 12.0 + LEARNING_TIME)
+            self.assert_kept(fleet, 2.0, cycle * 12.0 + limits.STABLE_WINDOW)
             fleet.limit = None
             fleet.play(4.0)
             fleet.arrived_at.clear()
--- a/tests/decisions/test_load_patterns.py
+++ b/tests/decisions/test_load_patterns.py
@@ -8,17 +8,24 @@
 
 from primrosemill.measure import load
 from primrosemill.measure import load_patterns
+from primrosemill.measure import load_simulation
+from primrosemill.measure import load_strategies
+from tests.builders import limits
 
 PATTERNS_BY_NAME = {each.name: each for each in load_patterns.PATTERNS}
 SECONDS = 30.0
 SEEDS = (1, 2)
 
 
+LIMITED_TO_HALF = "all are limited to half the load"
+
+
+def shorten(pattern):
+    return pattern._replace(seconds=SECONDS, incident_start=10.0)
+
+
 def play(name, way="belief", seeds=SEEDS):
-    pattern = PATTERNS_BY_NAME[name]._replace(
-        seconds=SECONDS, incident_start=10.0
-    )
-    return load.measure(pattern, way, seeds)
+    return load.measure(shorten(PATTERNS_BY_NAME[name]), way, seeds)
 
 
 class SpellsOfErrorsTest(testtools.TestCase):
@@ -102,3 +109,37 @@
 
     def test_each_vm_detects_failures_by_itself(self):
         self.assertLess(play("views differ").failed, 0.03)
+
+
+class LimitedInstancesTest(testtools.TestCase):
+    """Some or all instances name a limit of their requests for 10 s."""
+
+    def test_no_instance_gets_more_than_its_limit(self):
+        for name in ("a quarter is limited", LIMITED_TO_HALF):
+            pattern = shorten(PATTERNS_BY_NAME[name])
+            simulation = load_simulation.Simulation(
+                pattern, load_strategies.make_current, 1
+            )
+            simulation.run()
+            incident_end = pattern.incident_start + pattern.incident_duration
+            limited = [
+                each
+                for each in simulation.instances_by_id.values()
+                if each.limited
+            ]
+            for each in limited:
+                times = [at for at in each.arrivals if at < incident_end]
+                self.assertLessEqual(
+                    limits.most_in_window(
+                        times, pattern.incident_start + limits.STABLE_WINDOW
+                    ),
+                    limits.allowed(pattern.limit_rate),
+                )
+
+    def test_other_instances_serve_the_rest(self):
+        self.assertGreater(play("a quarter is limited").served, 0.98)
+
+    def test_limits_of_all_instances_are_used_up(self):
+        """Half of the requests of a third of the time can't be served."""
+        row = play(LIMITED_TO_HALF)
+        self.assertLess(row.refused, 1.1 * 0.5 / 3.0)
--- a/tests/platform/test_instance_limits.py
+++ b/tests/platform/test_instance_limits.py
@@ -9,15 +9,9 @@
 from primrosemill.decisions import instance_limits
 from primrosemill.telemetry import events
 from tests.builders import answers
+from tests.builders import limits
 from tests.builders import users_platform as builders
 
-# The platform's rule: from this time after an instance first named its limit,
-# no window has more than the limit allows, times a factor, and some requests.
-STABLE_WINDOW = 3.0  # seconds
-WINDOW = 4.0  # seconds
-ALLOWED_FACTOR = 1.5
-ALLOWED_REQUESTS = 5
-
 VM_COUNT = 3
 RATE_PER_VM = 8.0  # requests per second
 SERVICE_TIME = 0.2  # seconds; all instances are needed at the above rate
@@ -26,22 +20,6 @@
 LOSS_TIME = 5.0  # seconds
 
 
-def allowed(limit):
-    return ALLOWED_FACTOR * limit * WINDOW + ALLOWED_REQUESTS
-
-
-def most_in_window(times, start):
-    """Return the highest number of times in any window after the start."""
-    counted = [time for time in times if time >= start]
-    return max(
-        (
-            sum(first <= time < first + WINDOW for time in counted)
-            for first in counted
-        ),
-        default=0,
-    )
-
-
 async def send_steadily(built, seconds, name, statuses):
     """Send idempotent and non-idempotent requests to one VM at random."""
     generator = random.Random(name)
@@ -86,18 +64,22 @@
                 each.pause = SERVICE_TIME
             limited.limit = str(LIMIT).encode()
             started = trio.current_time()
-            statuses = await load_fleet(fleet, 2 * STABLE_WINDOW + WINDOW)
+            statuses = await load_fleet(
+                fleet, 2 * limits.STABLE_WINDOW + limits.WINDOW
+            )
             named_at = limited.arrived_at[0]
             self.assertLess(named_at, started + 1.0)
             self.assertLessEqual(
-                most_in_window(limited.arrived_at, named_at + STABLE_WINDOW),
-                allowed(LIMIT),
+                limits.most_in_window(
+                    limited.arrived_at, named_at + limits.STABLE_WINDOW
+                ),
+                limits.allowed(LIMIT),
             )
             # It is still used, and the other instance takes what it can.
             late = [
                 time
                 for time in limited.arrived_at
-                if time >= named_at + STABLE_WINDOW
+                if time >= named_at + limits.STABLE_WINDOW
             ]
             self.assertGreater(len(late), LIMIT)
             self.assertLessEqual(set(statuses), {200, 503})
