Give limits of instances modules of their own

LimitTracker applies what answers and peers say, LimitExchange keeps the view of the fleet, logs and tells others, limit_reports converts messages; balancers, notifier and entry_vm lose these jobs. One record holds what is known of an incarnation, in place of three dictionaries. No change of behaviour, but answers without a limit cost less while no instance has named one.

--- a/packages/decisions/src/primrosemill/decisions/instance_limits.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_limits.py
@@ -60,8 +60,8 @@
     current: float | None
 
 
-def is_superseded(known: Statement, new: Statement) -> bool:
-    """Return whether a new statement replaces the known one."""
+def replaces(new: Statement, known: Statement) -> bool:
+    """Return whether a statement that arrives replaces the known one."""
     if new.strictness > known.strictness:
         return new.received_at > known.sent_at
     if new.strictness < known.strictness:
@@ -87,30 +87,50 @@
         ...
 
 
+class _KnownLimit:
+    """What is known of the limit of one incarnation.
+
+    ``sent_at`` is the time of this VM's last request, and ``heard_at`` that
+    of the last report from a peer.
+    """
+
+    __slots__ = ("heard_at", "sent_at", "statement")
+
+    def __init__(self, statement: Statement) -> None:
+        self.statement = statement
+        # Requests were sent without a limit until now.
+        self.sent_at = statement.received_at
+        self.heard_at = statement.received_at
+
+
 class InstanceLimits:
     """The limits that the instances of one service have named."""
 
     def __init__(self, shares: Shares | None = None) -> None:
         self._shares = shares or limit_shares.WholeLimit()
-        self._statements_by_incarnation: dict[
-            announcements.Incarnation, Statement
-        ] = {}
-        self._sent_at_by_incarnation: dict[
-            announcements.Incarnation, float
-        ] = {}
-        self._heard_at_by_incarnation: dict[
-            announcements.Incarnation, float
+        self._known_by_incarnation: dict[
+            announcements.Incarnation, _KnownLimit
         ] = {}
         self._faults_by_incarnation: dict[announcements.Incarnation, str] = {}
 
     @property
     def any_named(self) -> bool:
         """Return whether any instance has named a limit so far."""
-        return bool(self._statements_by_incarnation)
+        return bool(self._known_by_incarnation)
 
     def incarnations(self) -> tuple[announcements.Incarnation, ...]:
         """Return the incarnations that have named a limit, now or before."""
-        return tuple(self._statements_by_incarnation)
+        return tuple(self._known_by_incarnation)
+
+    def statement(self, instance: documents.Instance) -> Statement | None:
+        """Return the statement in force on an instance, or None."""
+        known = self._find(instance)
+        return None if known is None else known.statement
+
+    def rate(self, instance: documents.Instance) -> float | None:
+        """Return the requests per second of the limit, or None."""
+        known = self._find(instance)
+        return None if known is None else known.statement.rate
 
     def own_rate(
         self, instance: documents.Instance, now: float
@@ -129,85 +149,69 @@
         own_rate = self.own_rate(instance, now)
         if own_rate is None:
             return -math.inf
-        incarnation = announcements.incarnation_of(instance)
-        statement = self._statements_by_incarnation[incarnation]
-        sent_at = self._sent_at_by_incarnation[incarnation]
+        known = self._find(instance)
         trial_at = (
-            max(sent_at, statement.received_at)
+            max(known.sent_at, known.statement.received_at)
             + TRIAL_AGE
             + self._shares.trial_delay(instance)
         )
         if not own_rate:
             return trial_at
-        return min(trial_at, sent_at + 1.0 / own_rate)
+        return min(trial_at, known.sent_at + 1.0 / own_rate)
 
     def record_sent(self, instance: documents.Instance, now: float) -> None:
-        """Record that a request is sent to an instance."""
-        incarnation = announcements.incarnation_of(instance)
-        if incarnation in self._sent_at_by_incarnation:
-            self._sent_at_by_incarnation[incarnation] = now
+        """Record that this VM sends a request to an instance."""
+        known = self._find(instance)
+        if known is not None:
+            known.sent_at = now
+
+    def record_heard(self, instance: documents.Instance, now: float) -> None:
+        """Record that a peer reported on the limit of an instance."""
+        known = self._find(instance)
+        if known is not None:
+            known.heard_at = now
 
     def is_to_repeat(self, instance: documents.Instance, now: float) -> bool:
         """Return whether this VM keeps the others informed of a limit."""
-        statement = self.statement(instance)
-        if statement is None:
+        known = self._find(instance)
+        if known is None:
             return False
+        statement = known.statement
         if statement.rate is None and (
             now - statement.received_at > DROP_REPEAT_TIME
         ):
             return False
-        incarnation = announcements.incarnation_of(instance)
-        heard_at = self._heard_at_by_incarnation[incarnation]
-        return now - heard_at > MAX_SILENCE or self._shares.is_first_holder(
-            instance
-        )
-
-    def record_heard(self, instance: documents.Instance, now: float) -> None:
-        """Record that a peer reported on the limit of an instance."""
-        incarnation = announcements.incarnation_of(instance)
-        if incarnation in self._heard_at_by_incarnation:
-            self._heard_at_by_incarnation[incarnation] = now
-
-    def rate(self, instance: documents.Instance) -> float | None:
-        """Return the requests per second of the limit, or None."""
-        statement = self.statement(instance)
-        return None if statement is None else statement.rate
-
-    def statement(self, instance: documents.Instance) -> Statement | None:
-        """Return the statement in force on an instance, or None."""
-        return self._statements_by_incarnation.get(
-            announcements.incarnation_of(instance)
-        )
+        if now - known.heard_at > MAX_SILENCE:
+            return True
+        return self._shares.is_first_holder(instance)
 
     def record(
         self, instance: documents.Instance, statement: Statement
     ) -> Change | None:
         """Record a statement; return the change of the limit, if any."""
-        incarnation = announcements.incarnation_of(instance)
-        known = self._statements_by_incarnation.get(incarnation)
+        known = self._find(instance)
         if known is None:
-            if statement.rate is None:
-                return None
-            for by_incarnation in (
-                self._statements_by_incarnation,
-                self._sent_at_by_incarnation,
-                self._heard_at_by_incarnation,
-            ):
-                _make_room(by_incarnation)
-            self._statements_by_incarnation[incarnation] = statement
-            # Requests were sent without a limit until now.
-            self._sent_at_by_incarnation[incarnation] = statement.received_at
-            self._heard_at_by_incarnation[incarnation] = statement.received_at
-            return Change(None, statement.rate)
-        if statement.rate is None and known.rate is None:
+            return self._record_first(instance, statement)
+        previous = known.statement
+        if previous.rate is None and statement.rate is None:
+            return None
+        if not replaces(statement, previous):
             return None
-        if not is_superseded(known, statement):
+        known.statement = statement
+        age = statement.received_at - previous.received_at
+        if statement.rate == previous.rate and age < TRIAL_AGE:
             return None
-        self._statements_by_incarnation[incarnation] = statement
-        age = statement.received_at - known.received_at
-        if statement.rate == known.rate and age < TRIAL_AGE:
+        return Change(previous.rate, statement.rate)
+
+    def _record_first(
+        self, instance: documents.Instance, statement: Statement
+    ) -> Change | None:
+        if statement.rate is None:
             return None
-        return Change(known.rate, statement.rate)
+        _make_room(self._known_by_incarnation)
+        incarnation = announcements.incarnation_of(instance)
+        self._known_by_incarnation[incarnation] = _KnownLimit(statement)
+        return Change(None, statement.rate)
 
     def record_fault(self, instance: documents.Instance, value: str) -> bool:
         """Record an invalid limit; return whether the last was another one.
@@ -221,9 +225,15 @@
         self._faults_by_incarnation[incarnation] = value
         return True
 
+    def _find(self, instance: documents.Instance) -> _KnownLimit | None:
+        return self._known_by_incarnation.get(
+            announcements.incarnation_of(instance)
+        )
+
 
 def _make_room(
     by_incarnation: dict[announcements.Incarnation, object],
 ) -> None:
+    """Drop the oldest entry if there are as many as are remembered."""
     if len(by_incarnation) >= MAX_REMEMBERED:
         del by_incarnation[next(iter(by_incarnation))]
--- a/packages/decisions/src/primrosemill/decisions/instance_selection.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_selection.py
@@ -158,6 +158,13 @@
         usage = self._usages_by_id.get(instance_id)
         return None if usage is None else usage.instance
 
+    def find(self, instance_id: str, boot: int) -> documents.Instance | None:
+        """Return an instance if this boot of it is known, or None."""
+        instance = self.instance(instance_id)
+        if instance is None or instance.boot != boot:
+            return None
+        return instance
+
     def in_flight_at(self, instance_id: str) -> int:
         """Return the number of this VM's requests in flight at an instance."""
         usage = self._usages_by_id.get(instance_id)
@@ -419,20 +426,11 @@
 
     def limited_instances(self) -> list[documents.Instance]:
         """Return the instances that have named a limit, now or before."""
-        limited = []
-        for incarnation in self.limits.incarnations():
-            instance = self.instance(incarnation.instance_id)
-            if instance is not None and instance.boot == incarnation.boot:
-                limited.append(instance)
-        return limited
-
-    def limits_to_repeat(self, now: float) -> list[documents.Instance]:
-        """Return the instances of whose limits this VM informs others."""
-        return [
-            instance
-            for instance in self.limited_instances()
-            if self.limits.is_to_repeat(instance, now)
-        ]
+        instances = (
+            self.find(*incarnation)
+            for incarnation in self.limits.incarnations()
+        )
+        return [each for each in instances if each is not None]
 
     def limited_rate(self, now: float) -> float | None:
         """Return the requests per second that all limits allow this VM.
--- a/packages/proxy/src/primrosemill/proxy/balancers.py
+++ b/packages/proxy/src/primrosemill/proxy/balancers.py
@@ -25,8 +25,8 @@
 from primrosemill.fleet import messages
 from primrosemill.proxy import alarm as alarms
 from primrosemill.proxy import belief_updates
-from primrosemill.proxy import headers
 from primrosemill.proxy import instance_observations
+from primrosemill.proxy import limit_tracker
 from primrosemill.proxy import outcome_classification
 from primrosemill.proxy import request_policies
 from primrosemill.proxy import waiters
@@ -196,8 +196,7 @@
         self._generator = generator
         self._listeners = listeners
         self._balancers_by_service: dict[str, Balancer] = {}
-        # As last returned by take_share_changes.
-        self._own_rates_by_key: dict[tuple[str, str, int], float | None] = {}
+        self.limits = limit_tracker.LimitTracker(listeners.on_limit)
 
     def create(
         self, service: documents.Service, alarm: alarms.Alarm
@@ -212,6 +211,7 @@
             self._shares,
         )
         self._balancers_by_service[service.name] = balancer
+        self.limits.add_service(service.name, balancer.selector)
         return balancer
 
     def set_led_instances(self, service: str, led_ids: frozenset[str]) -> None:
@@ -223,28 +223,18 @@
         if balancer is not None:
             balancer.selector.set_led_ids(led_ids)
 
-    def _find_instance(
-        self, service: str, instance_id: str, boot: int
-    ) -> tuple[Balancer, documents.Instance] | None:
-        """Return an instance and its balancer if this boot of it is known."""
-        balancer = self._balancers_by_service.get(service)
-        if balancer is None:
-            return None
-        instance = balancer.selector.instance(instance_id)
-        if instance is None or instance.boot != boot:
-            return None
-        return balancer, instance
-
     def apply_sightings(self, message: messages.Sightings) -> None:
         """Update beliefs from what a peer observed of instances."""
         now = trio.current_time()
         for sighting in message.sightings:
-            found = self._find_instance(
-                sighting.service, sighting.instance_id, sighting.boot
+            balancer = self._balancers_by_service.get(sighting.service)
+            if balancer is None:
+                continue
+            instance = balancer.selector.find(
+                sighting.instance_id, sighting.boot
             )
-            if found is None:
+            if instance is None:
                 continue
-            balancer, instance = found
             observed_at = now - sighting.age_ms / MILLISECONDS_PER_SECOND
             belief = balancer.selector.belief
             failed = sighting.outcome is messages.SightingOutcome.FAILED
@@ -272,74 +262,6 @@
             service, instance_id, boot, instance_observations.SOURCE_PEER
         )
 
-    def apply_limits(self, message: messages.Limits) -> None:
-        """Record what a peer knows of the limits of instances."""
-        now = trio.current_time()
-        for each in message.limits:
-            found = self._find_instance(
-                each.service, each.instance_id, each.boot
-            )
-            if found is None:
-                continue
-            balancer, instance = found
-            rate = None
-            if each.milli_rate is not None:
-                rate = each.milli_rate / headers.LIMIT_STEPS
-            statement = instance_limits.Statement(
-                rate,
-                now - each.sent_age_ms / MILLISECONDS_PER_SECOND,
-                now - each.received_age_ms / MILLISECONDS_PER_SECOND,
-            )
-            self._record_limit(
-                balancer,
-                instance,
-                statement,
-                instance_observations.SOURCE_PEER,
-            )
-            balancer.selector.limits.record_heard(instance, now)
-
-    def take_share_changes(
-        self, now: float
-    ) -> list[instance_observations.LimitShare]:
-        """Return the parts of limits that changed since the last call."""
-        rates_by_key: dict[tuple[str, str, int], float | None] = {}
-        changes = []
-        for name, balancer in self._balancers_by_service.items():
-            limits = balancer.selector.limits
-            for instance in balancer.selector.limited_instances():
-                key = (name, instance.id, instance.boot)
-                own_rate = limits.own_rate(instance, now)
-                rates_by_key[key] = own_rate
-                if self._own_rates_by_key.get(key) == own_rate:
-                    continue
-                changes.append(
-                    instance_observations.LimitShare(
-                        name, instance, limits.rate(instance), own_rate
-                    )
-                )
-        self._own_rates_by_key = rates_by_key
-        return changes
-
-    def limits_to_repeat(
-        self, now: float
-    ) -> list[instance_observations.LimitNews]:
-        """Return the limits of which this VM has to keep the others informed.
-
-        Dropped limits are included for some time.
-        """
-        limits = []
-        for name, balancer in self._balancers_by_service.items():
-            for instance in balancer.selector.limits_to_repeat(now):
-                limits.append(
-                    instance_observations.LimitNews(
-                        name,
-                        instance,
-                        instance_observations.SOURCE_ANSWER,
-                        statement=balancer.selector.limits.statement(instance),
-                    )
-                )
-        return limits
-
     def _record_leaving(
         self,
         service: str,
@@ -419,65 +341,7 @@
 
     def limit_read(self, reading: request_policies.LimitReading) -> None:
         """Record the limit that an answer names, or that it names none."""
-        start = reading.start
-        found = self._find_instance(
-            start.service, start.instance_id, start.boot
-        )
-        if found is None:
-            return
-        balancer, instance = found
-        if reading.limit is not None and reading.limit.is_error():
-            self._record_invalid_limit(balancer, instance, reading)
-            return
-        statement = instance_limits.Statement(
-            None if reading.limit is None else reading.limit.ok,
-            start.started,
-            trio.current_time(),
-        )
-        self._record_limit(
-            balancer,
-            instance,
-            statement,
-            instance_observations.SOURCE_ANSWER,
-            start.request_id,
-        )
-
-    def _record_invalid_limit(
-        self,
-        balancer: Balancer,
-        instance: documents.Instance,
-        reading: request_policies.LimitReading,
-    ) -> None:
-        fault = reading.limit.error
-        if not balancer.selector.limits.record_fault(instance, fault.value):
-            return
-        self._listeners.on_limit(
-            instance_observations.LimitNews(
-                balancer.name,
-                instance,
-                instance_observations.SOURCE_ANSWER,
-                request_id=reading.start.request_id,
-                fault=fault,
-            )
-        )
-
-    def _record_limit(
-        self,
-        balancer: Balancer,
-        instance: documents.Instance,
-        statement: instance_limits.Statement,
-        source: str,
-        request_id: str = "",
-    ) -> None:
-        limits = balancer.selector.limits
-        change = limits.record(instance, statement)
-        if change is None:
-            return
-        self._listeners.on_limit(
-            instance_observations.LimitNews(
-                balancer.name, instance, source, change, statement, request_id
-            )
-        )
+        self.limits.record_reading(reading)
 
     def attempt_ended(self, end: request_policies.AttemptEnd) -> None:
         """Update the belief in an instance from an attempt's outcome."""
@@ -494,8 +358,8 @@
             return
         now = trio.current_time()
         start = end.start
-        instance = balancer.selector.instance(start.instance_id)
-        if instance is None or instance.boot != start.boot:
+        instance = balancer.selector.find(start.instance_id, start.boot)
+        if instance is None:
             return
         if end.load is not None:
             balancer.selector.record_load(instance.id, end.load, now)
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -7,7 +7,6 @@
 
 import http
 import random
-import typing
 
 import prometheus_client
 import trio
@@ -16,7 +15,6 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
 from primrosemill.decisions import home_vms
-from primrosemill.decisions import instance_limits
 from primrosemill.decisions import limit_shares
 from primrosemill.decisions import retry_budget
 from primrosemill.fleet import members
@@ -35,6 +33,7 @@
 from primrosemill.proxy import feed_documents
 from primrosemill.proxy import garbage_collection
 from primrosemill.proxy import instance_observations
+from primrosemill.proxy import limit_exchange
 from primrosemill.proxy import notifier
 from primrosemill.proxy import peers
 from primrosemill.proxy import request_policies
@@ -52,13 +51,6 @@
 STATES_ACCEPTING_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
 
-class _Process(typing.NamedTuple):
-    """One run of the process of another VM."""
-
-    vm_id: str
-    incarnation: int
-
-
 class EntryVm:
     """Connects the servers of an entry VM to its decisions and runs them."""
 
@@ -122,12 +114,11 @@
                 self._on_feed_change,
                 self._balancers.apply_sightings,
                 self._on_peer_departure,
-                self._balancers.apply_limits,
+                self._balancers.limits.apply_reports,
             ),
         )
         self._document = documents.empty_document(settings.fleet)
         self._view = entry_view.EntryView(self._own_vm)
-        self._known_processes: frozenset[_Process] = frozenset()
         self._leaving = False
         self._run_scope = trio.CancelScope()
         self._stopper = shutdown.Stopper(
@@ -139,6 +130,9 @@
         )
         self._counters = counts
         self._notifier = notifier.Notifier(settings.domain, self._view)
+        self._limit_exchange = limit_exchange.LimitExchange(
+            self._limit_shares, self._balancers.limits, self._notifier, counts
+        )
 
     async def run(self) -> None:
         """Serve until stopped; accept callers once routes are known."""
@@ -166,7 +160,7 @@
                 nursery.start_soon(self._notifier.send_success_batches, send)
                 nursery.start_soon(
                     self._notifier.repeat_limits,
-                    self._balancers.limits_to_repeat,
+                    self._balancers.limits.updates_to_repeat,
                     send,
                 )
                 await self.peers.node.announce_serving()
@@ -376,28 +370,9 @@
             fault=repr(pause.fault) if pause.fault is not None else "",
         )
 
-    def _on_limit(self, news: instance_observations.LimitNews) -> None:
-        self._counters.announcements.count(_kind_of_limit(news))
-        if news.fault is None and (
-            news.source == instance_observations.SOURCE_ANSWER
-        ):
-            self._notifier.add_limit(news, trio.current_time())
-        change = news.change or instance_limits.Change(None, None)
-        age = 0.0
-        if news.statement is not None:
-            age = trio.current_time() - news.statement.received_at
-        events.emit(
-            events.INSTANCE_LIMIT,
-            service=news.service,
-            instance_id=news.instance.id,
-            boot=news.instance.boot,
-            limit=change.current,
-            previous=change.previous,
-            age=round(age, 3),
-            source=news.source,
-            request_id=news.request_id,
-            fault=repr(news.fault) if news.fault is not None else "",
-        )
+    def _on_limit(self, update: instance_observations.LimitUpdate) -> None:
+        """Log a change of an instance's limit and notify peers."""
+        self._limit_exchange.on_update(update)
 
     def _on_belief_update(
         self, update: instance_observations.BeliefUpdate
@@ -427,33 +402,22 @@
             if state != previous_state:
                 previous_state = state
                 self._update_view()
-            self._log_limit_shares()
+            self._limit_exchange.log_share_changes()
             await trio.sleep(VIEW_CHECK_INTERVAL)
 
-    def _log_limit_shares(self) -> None:
-        view = self._limit_shares.view
-        for change in self._balancers.take_share_changes(trio.current_time()):
-            own_rate = change.own_rate
-            events.emit(
-                events.LIMIT_SHARE,
-                service=change.service,
-                instance_id=change.instance.id,
-                boot=change.instance.boot,
-                limit=change.limit,
-                own_rate=None if own_rate is None else round(own_rate, 3),
-                present=view.present_count,
-                lost=view.lost_count,
-            )
-
     def _update_view(self) -> None:
         """Update the entry points, the led instances and the retry bounds."""
         vms = [] if self._leaving else [self._own_vm]
-        for member in self.peers.present_members():
-            if member.state in STATES_ACCEPTING_CALLERS:
-                entry = member.entry
-                vms.append(
-                    home_vms.Vm(entry.vm_id, entry.domain, entry.capacity_rps)
-                )
+        accepting_callers = [
+            member
+            for member in self.peers.present_members()
+            if member.state in STATES_ACCEPTING_CALLERS
+        ]
+        for member in accepting_callers:
+            entry = member.entry
+            vms.append(
+                home_vms.Vm(entry.vm_id, entry.domain, entry.capacity_rps)
+            )
         services = self._document.services_by_name.values()
         slots = sum(
             instance.slots
@@ -462,56 +426,16 @@
             if not instance.leaving
         )
         self._view.update(tuple(vms), slots)
-        self._inform_newcomers()
         led_ids_by_service = self._view.changed_leads(
             self._document.services_by_name
         )
         for name, led_ids in led_ids_by_service.items():
             self._balancers.set_led_instances(name, led_ids)
-        self._set_limit_view()
-        self._set_retry_bounds()
-
-    def _inform_newcomers(self) -> None:
-        """Tell processes that accept callers since now of instances' limits.
-
-        They would exceed a limit until their first answer that names it.
-        """
-        processes = frozenset(
-            _Process(member.entry.vm_id, member.entry.incarnation)
-            for member in self.peers.present_members()
-            if member.state in STATES_ACCEPTING_CALLERS
-        )
-        newcomers = processes - self._known_processes
-        self._known_processes = processes
-        if not newcomers:
-            return
-        now = trio.current_time()
-        self._notifier.add_newcomers(
-            sorted(each.vm_id for each in newcomers),
-            self._balancers.limits_to_repeat(now),
-            now,
-        )
-
-    def _set_limit_view(self) -> None:
-        """Set the view of the fleet that decides this VM's limit shares.
-
-        First peers that were never met may be behind a cut.
-        """
-        domains = {
-            instance.domain
-            for service in self._document.services_by_name.values()
-            for instance in service.instances
-        }
-        present_count = 1 + len(self.peers.present_members())
-        unmet_count = max(
-            0, len(self._settings.first_peers) - self.peers.known_count()
+        self._limit_exchange.inform_newcomers(accepting_callers)
+        self._limit_exchange.set_view(
+            self._view, self.peers, self._document.services_by_name.values()
         )
-        view = limit_shares.View(
-            {each: self._view.entry_points_of(each) for each in domains},
-            present_count,
-            max(self.peers.lost_count(), unmet_count),
-        )
-        self._limit_shares.set_view(view, trio.current_time())
+        self._set_retry_bounds()
 
     def _set_retry_bounds(self) -> None:
         """Set this VM's share of the fleet's retry budget."""
@@ -527,16 +451,6 @@
         )
 
 
-def _kind_of_limit(
-    news: instance_observations.LimitNews,
-) -> counters.Announcement:
-    if news.fault is not None:
-        return counters.Announcement.DAMAGED_LIMIT
-    if news.source == instance_observations.SOURCE_PEER:
-        return counters.Announcement.LIMIT_TOLD_BY_PEER
-    return counters.Announcement.LIMIT
-
-
 def _ignore_document(document: documents.Document) -> None:
     pass
 
--- a/packages/proxy/src/primrosemill/proxy/instance_observations.py
+++ b/packages/proxy/src/primrosemill/proxy/instance_observations.py
@@ -54,7 +54,7 @@
     fault: headers.InvalidPause | None = None
 
 
-class LimitNews(typing.NamedTuple):
+class LimitUpdate(typing.NamedTuple):
     """An instance named, changed or dropped a limit of its requests.
 
     ``change`` is None if the limit is the same, and ``statement`` is what is
@@ -86,7 +86,7 @@
 OnDeparture = typing.Callable[[Departure], None]
 OnCrossing = typing.Callable[[instance_selection.Crossing], None]
 OnPause = typing.Callable[[Pause], None]
-OnLimit = typing.Callable[[LimitNews], None]
+OnLimit = typing.Callable[[LimitUpdate], None]
 
 
 class Listeners(typing.NamedTuple):
--- a/packages/proxy/src/primrosemill/proxy/notifier.py
+++ b/packages/proxy/src/primrosemill/proxy/notifier.py
@@ -15,8 +15,8 @@
 from primrosemill.decisions import instance_limits
 from primrosemill.decisions import rate
 from primrosemill.fleet import messages
-from primrosemill.proxy import headers
 from primrosemill.proxy import instance_observations
+from primrosemill.proxy import limit_reports
 from primrosemill.telemetry import events
 
 MAX_QUEUED_MESSAGES = 64  # further ones are dropped
@@ -39,8 +39,6 @@
 # Shortest time between two messages on the limit of an instance, which may
 # name another number in each answer.
 MIN_LIMIT_INTERVAL = 0.5  # seconds
-MAX_LIMITS = 16  # in one message
-LIMIT_OVERHEAD = 48  # bytes of a limit besides its two names
 
 Send = typing.Callable[
     [messages.Message, typing.Iterable[str]], typing.Awaitable[None]
@@ -48,7 +46,7 @@
 
 
 LimitsToRepeat = typing.Callable[
-    [float], list[instance_observations.LimitNews]
+    [float], list[instance_observations.LimitUpdate]
 ]
 
 
@@ -122,26 +120,26 @@
             self._successes_by_id[instance.id] = update
 
     def add_limit(
-        self, news: instance_observations.LimitNews, now: float
+        self, update: instance_observations.LimitUpdate, now: float
     ) -> None:
         """Queue a message that an instance named or dropped a limit."""
-        told_at = self._limit_told_at_by_id.get(news.instance.id, -math.inf)
+        told_at = self._limit_told_at_by_id.get(update.instance.id, -math.inf)
         if now - told_at < MIN_LIMIT_INTERVAL:
             return
-        self._limit_told_at_by_id[news.instance.id] = now
+        self._limit_told_at_by_id[update.instance.id] = now
+        (message,) = limit_reports.build_messages((update,), now)
         self._enqueue(
-            messages.Limits((_to_limit(news, now),)),
-            self._recipients.recipients_for(news.instance.domain),
+            message, self._recipients.recipients_for(update.instance.domain)
         )
 
     def add_newcomers(
         self,
         vm_ids: typing.Iterable[str],
-        limits: list[instance_observations.LimitNews],
+        limits: list[instance_observations.LimitUpdate],
         now: float,
     ) -> None:
         """Queue messages that tell VMs which have just started of limits."""
-        for message in _limit_messages(limits, now):
+        for message in limit_reports.build_messages(limits, now):
             self._enqueue(message, tuple(vm_ids))
 
     async def repeat_limits(
@@ -154,15 +152,17 @@
         while True:
             await trio.sleep(instance_limits.REPEAT_INTERVAL)
             now = trio.current_time()
-            news_by_domain: dict[
-                str, list[instance_observations.LimitNews]
+            updates_by_domain: dict[
+                str, list[instance_observations.LimitUpdate]
             ] = {}
-            for news in limits_to_repeat(now):
-                domain = news.instance.domain
-                news_by_domain.setdefault(domain, []).append(news)
-            for domain, domain_news in news_by_domain.items():
+            for update in limits_to_repeat(now):
+                domain = update.instance.domain
+                updates_by_domain.setdefault(domain, []).append(update)
+            for domain, domain_updates in updates_by_domain.items():
                 recipient_ids = self._recipients.recipients_for(domain)
-                for message in _limit_messages(domain_news, now):
+                for message in limit_reports.build_messages(
+                    domain_updates, now
+                ):
                     await send(message, recipient_ids)
 
     async def send_queued(self, send: Send) -> None:
@@ -239,44 +239,6 @@
             )
 
 
-def _limit_messages(
-    news: list[instance_observations.LimitNews], now: float
-) -> list[messages.Limits]:
-    """Return messages with limits that each fit into a datagram."""
-    batches: list[list[messages.InstanceLimit]] = []
-    bytes_left = 0
-    for each in news:
-        limit = _to_limit(each, now)
-        names = limit.service.encode() + limit.instance_id.encode()
-        bytes_left -= len(names) + LIMIT_OVERHEAD
-        if bytes_left < 0 or len(batches[-1]) == MAX_LIMITS:
-            batches.append([])
-            bytes_left = MAX_SIGHTINGS_BYTES - len(names) - LIMIT_OVERHEAD
-        batches[-1].append(limit)
-    return [messages.Limits(tuple(batch)) for batch in batches]
-
-
-def _to_limit(
-    news: instance_observations.LimitNews, now: float
-) -> messages.InstanceLimit:
-    instance, statement = news.instance, news.statement
-    milli_rate = None
-    if statement.rate is not None:
-        milli_rate = round(statement.rate * headers.LIMIT_STEPS)
-    return messages.InstanceLimit(
-        news.service,
-        instance.id,
-        instance.boot,
-        milli_rate,
-        _age_ms(statement.sent_at, now),
-        _age_ms(statement.received_at, now),
-    )
-
-
-def _age_ms(time: float, now: float) -> int:
-    return max(0, round((now - time) * MILLISECONDS_PER_SECOND))
-
-
 def _to_sighting(
     update: instance_observations.BeliefUpdate, now: float
 ) -> messages.Sighting:
@@ -285,11 +247,8 @@
         if update.failed
         else messages.SightingOutcome.GOOD
     )
+    age = max(0, round((now - update.observed_at) * MILLISECONDS_PER_SECOND))
     instance = update.instance
     return messages.Sighting(
-        update.service,
-        instance.id,
-        instance.boot,
-        seen,
-        _age_ms(update.observed_at, now),
+        update.service, instance.id, instance.boot, seen, age
     )
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -52,6 +52,7 @@
         self.document_ready = trio.Event()
         self.document = documents.empty_document(settings.fleet)
         self._on_document = on_document
+        self._first_peer_count = len(settings.first_peers)
         self._counters = counters
         self._store_reachable = True
         identity = node.Identity(
@@ -121,11 +122,15 @@
         table = self.node.membership.table
         return [table.members_by_id[vm_id] for vm_id in table.present_by_id]
 
-    def known_count(self) -> int:
-        """Return the number of known VMs, this one and gone ones included."""
+    def unmet_count(self) -> int:
+        """Return the number of first peers that must be unknown so far.
+
+        This VM may be one of the first peers.
+        """
         if self.node.membership is None:
-            return 1
-        return 1 + len(self.node.membership.table.members_by_id)
+            return self._first_peer_count
+        known_count = 1 + len(self.node.membership.table.members_by_id)
+        return max(0, self._first_peer_count - known_count)
 
     def lost_count(self) -> int:
         """Return the number of VMs that vanished without leaving."""
--- a/tests/proxy/test_notifier.py
+++ b/tests/proxy/test_notifier.py
@@ -127,7 +127,7 @@
 
 class LimitsTest(testtools.TestCase):
     def news(self, number=0, rate=2.5, received_at=9.0):
-        return instance_observations.LimitNews(
+        return instance_observations.LimitUpdate(
             "reservations",
             update(number=number).instance,
             instance_observations.SOURCE_ANSWER,
--- a/tests/proxy/test_peer_limits.py
+++ b/tests/proxy/test_peer_limits.py
@@ -53,7 +53,7 @@
 
         def check(vm_balancers, limits):
             for each in reports:
-                vm_balancers.apply_limits(messages.Limits((each,)))
+                vm_balancers.limits.apply_reports(messages.Limits((each,)))
             rates.append(limits.rate(INSTANCE))
 
         news = self.run_balancers(check)
@@ -99,7 +99,7 @@
 
     def test_own_answer_changes_what_a_peer_reported(self):
         def check(vm_balancers, limits):
-            vm_balancers.apply_limits(messages.Limits((report(),)))
+            vm_balancers.limits.apply_reports(messages.Limits((report(),)))
             start = request_policies.AttemptStart(
                 SERVICE.name,
                 INSTANCE.id,
@@ -118,15 +118,15 @@
     def test_changes_of_the_own_share_are_told_once(self):
         def check(vm_balancers, limits):
             now = trio.current_time()
-            self.assertEqual([], vm_balancers.take_share_changes(now))
-            vm_balancers.apply_limits(messages.Limits((report(),)))
-            (change,) = vm_balancers.take_share_changes(now)
+            self.assertEqual([], vm_balancers.limits.take_share_changes(now))
+            vm_balancers.limits.apply_reports(messages.Limits((report(),)))
+            (change,) = vm_balancers.limits.take_share_changes(now)
             self.assertEqual((2.2, 2.2), change[2:])
-            self.assertEqual([], vm_balancers.take_share_changes(now))
+            self.assertEqual([], vm_balancers.limits.take_share_changes(now))
             limits.record(
                 INSTANCE, instance_limits.Statement(None, now, now + 1.0)
             )
-            (change,) = vm_balancers.take_share_changes(now)
+            (change,) = vm_balancers.limits.take_share_changes(now)
             self.assertEqual((None, None), change[2:])
 
         self.run_balancers(check)
