Let the holders of a limit cover the instance for the floor

The lead of an instance covers it while part of the requests is lost, but a limited instance may have another VM as holder. Its lead could not send to it and its holder did not cover it, so a sound instance could go without requests for longer than the floor allows. Found by reading; the test, two instances of which another VM leads the limited one, fails without the change.

A VM with a part of the limit now counts as the lead. One pass over the local instances works out part and turn.

--- a/packages/decisions/src/primrosemill/decisions/instance_limits.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_limits.py
@@ -60,6 +60,16 @@
     current: float | None
 
 
+class Allowance(typing.NamedTuple):
+    """The part of a VM in a limit, and when it may send the next request.
+
+    ``own_rate`` is in requests per second.
+    """
+
+    own_rate: float
+    next_send_at: float
+
+
 def replaces(new: Statement, known: Statement) -> bool:
     """Return whether a statement that arrives replaces the known one."""
     if new.strictness > known.strictness:
@@ -132,32 +142,38 @@
         known = self._find(instance)
         return None if known is None else known.statement.rate
 
+    def allowance(
+        self, instance: documents.Instance, now: float
+    ) -> Allowance | None:
+        """Return what this VM may send to an instance; None for any number."""
+        known = self._find(instance)
+        if known is None or known.statement.rate is None:
+            return None
+        rate = known.statement.rate
+        own_rate = rate * self._shares.share(instance, rate, now)
+        next_send_at = (
+            max(known.sent_at, known.statement.received_at)
+            + TRIAL_AGE
+            + self._shares.trial_delay(instance)
+        )
+        if own_rate > 0.0:
+            next_send_at = min(next_send_at, known.sent_at + 1.0 / own_rate)
+        return Allowance(own_rate, next_send_at)
+
     def own_rate(
         self, instance: documents.Instance, now: float
     ) -> float | None:
         """Return this VM's part of an instance's limit; None without one."""
-        rate = self.rate(instance)
-        if rate is None:
-            return None
-        return rate * self._shares.share(instance, rate, now)
+        allowance = self.allowance(instance, now)
+        return None if allowance is None else allowance.own_rate
 
     def next_send_at(self, instance: documents.Instance, now: float) -> float:
         """Return when this VM may send the next request to an instance.
 
         The result is not after ``now`` if it may send one now.
         """
-        own_rate = self.own_rate(instance, now)
-        if own_rate is None:
-            return -math.inf
-        known = self._find(instance)
-        trial_at = (
-            max(known.sent_at, known.statement.received_at)
-            + TRIAL_AGE
-            + self._shares.trial_delay(instance)
-        )
-        if not own_rate:
-            return trial_at
-        return min(trial_at, known.sent_at + 1.0 / own_rate)
+        allowance = self.allowance(instance, now)
+        return -math.inf if allowance is None else allowance.next_send_at
 
     def record_sent(self, instance: documents.Instance, now: float) -> None:
         """Record that this VM sends a request to an instance."""
--- a/packages/decisions/src/primrosemill/decisions/instance_selection.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_selection.py
@@ -219,6 +219,26 @@
         for instance_id, usage in self._usages_by_id.items():
             usage.led_elsewhere = instance_id not in led_ids
 
+    def _open_local(self, now: float) -> list[instance_usage.InstanceUsage]:
+        """Return the local instances that no limit rules out now.
+
+        A limited instance counts as led by the VMs with a part of the limit:
+        nobody else sends to it, whether or not it leads it otherwise.
+        """
+        if not self.limits.any_named:
+            return self._local
+        usages = []
+        for usage in self._local:
+            instance = usage.instance
+            allowance = self.limits.allowance(instance, now)
+            if allowance is None:
+                usage.led_elsewhere = instance.id not in self._led_ids
+            else:
+                usage.led_elsewhere = not allowance.own_rate
+            if allowance is None or allowance.next_send_at <= now:
+                usages.append(usage)
+        return usages
+
     def choose(
         self, criteria: Criteria, now: float
     ) -> documents.Instance | None:
@@ -227,13 +247,7 @@
         Returns None if no instance has one, or if a full instance is enough
         better to be worth waiting for.
         """
-        open_local = self._local
-        if self.limits.any_named:
-            open_local = [
-                usage
-                for usage in self._local
-                if not self._is_over_limit(usage, now)
-            ]
+        open_local = self._open_local(now)
         due_id = self.coverage.next_due(open_local, self.belief, now)
         best = self._best_of(open_local, criteria, now, due_id, _NO_CHOICE)
         if best.value < -self._crossing_cost and not criteria.local:
--- a/tests/decisions/test_announced_load.py
+++ b/tests/decisions/test_announced_load.py
@@ -204,6 +204,18 @@
         chosen_ids = [selector.choose(NON_IDEMPOTENT, 1.1).id for _ in (1, 2)]
         self.assertEqual(["i-1", "i-1"], chosen_ids)
 
+    def test_the_floor_covers_a_limited_instance_that_another_vm_leads(self):
+        """Its lead may have no part of the limit, and can't cover it."""
+        allocator = self.make(2, 1.0)
+        selector = allocator.selector
+        selector.set_led_ids(frozenset({"i-1"}))
+        for instance_id in ("i-0", "i-1"):
+            selector.belief.record_success(instance_id, 2.0, 2.0)
+        for _ in range(20):
+            selector.coverage.record(False, 4.0)
+        chosen_ids = [selector.choose(NON_IDEMPOTENT, 4.0).id for _ in (1, 2)]
+        self.assertEqual({"i-0", "i-1"}, set(chosen_ids))
+
     def test_other_instances_take_what_exceeds_the_limit(self):
         allocator = self.make(2, 1.0)
         ids = []
