--- a/tests/builders/limits.py
+++ b/tests/builders/limits.py
@@ -46,7 +46,7 @@
 
 
 class Vm:
-    """A VM with an allocation of its own; ``points`` are its entry points."""
+    """A VM with an allocation and a view of the fleet of its own."""
 
     def __init__(self, vm_id, generator):
         self.id = vm_id
@@ -61,13 +61,14 @@
         )
         self.running = True
 
-    def see(self, present, now, lost=0, point_count=None):
-        """Set the view of the fleet: the ids of the VMs that are there."""
+    def see(self, present, now, lost=0):
+        """Set the view of the fleet: the VMs there, all of them entry points.
+
+        ``present`` are their ids, and ``lost`` is the number of those gone.
+        """
         points = tuple(home_vms.Vm(each, load.DOMAIN) for each in present)
         self.shares.set_view(
-            limit_shares.View(
-                {load.DOMAIN: points[:point_count]}, len(present), lost
-            ),
+            limit_shares.View({load.DOMAIN: points}, len(present), lost),
             now,
         )
 
