Keep all answers on a limit that may be the latest one

One answer was kept for an instance. An answer that was looser, and not surely later, was dropped, so a third one could be sure to follow the one kept and not the dropped one: with 1 a second read from 0 to 1 s, 2 from 0 to 2 s and no limit from 1 to 3 s the limit was lifted, though 2 may have been named last. Two answers with one number could also make it seem older than it is.

The answers that may be the latest are kept, one for each number, and the strictest of them counts.

--- a/packages/decisions/src/primrosemill/decisions/instance_limits.py
+++ b/packages/decisions/src/primrosemill/decisions/instance_limits.py
@@ -3,7 +3,8 @@
 An instance in need names how many requests per second it accepts from all VMs
 together, for as long as its answers say so. A statement is known only to have
 been made between the sending of its request and the arrival of its answer, so
-the order of two statements may be unknown; then the stricter one counts.
+the order of two statements may be unknown. Of all statements that may be the
+latest one, the strictest counts.
 
 Statements are kept per incarnation (one run of the instance's process), also
 while the feed doesn't list the instance. A VM sends at its share of the limit
@@ -21,6 +22,8 @@
 # Incarnations whose limit is remembered; the oldest one is dropped first. The
 # platform's target is 10,000 instances.
 MAX_REMEMBERED = 10_000
+# Statements kept of one incarnation; the loosest one is dropped first.
+MAX_STATEMENTS = 16
 # Interval at which the first holder tells the other VMs of a limit.
 REPEAT_INTERVAL = 5.0  # seconds
 # Time without a report from a peer after which any VM repeats what it knows:
@@ -45,9 +48,9 @@
     received_at: float
 
     @property
-    def strictness(self) -> float:
-        """Return the sort key of the rate, which is lowest for no limit."""
-        return -math.inf if self.rate is None else -self.rate
+    def order(self) -> float:
+        """Return the rate as a number, so that the strictest is the lowest."""
+        return math.inf if self.rate is None else self.rate
 
 
 class Change(typing.NamedTuple):
@@ -70,13 +73,31 @@
     next_send_at: float
 
 
-def replaces(new: Statement, known: Statement) -> bool:
-    """Return whether a statement that arrives replaces the known one."""
-    if new.strictness > known.strictness:
-        return new.received_at > known.sent_at
-    if new.strictness < known.strictness:
-        return new.sent_at >= known.received_at
-    return new.received_at > known.received_at
+def add_statement(
+    statements: tuple[Statement, ...], new: Statement
+) -> tuple[Statement, ...]:
+    """Add a statement to those of which each may be the latest one.
+
+    Of several statements with one rate, the last one was made no earlier than
+    the latest request among them was sent.
+    """
+    if any(each.sent_at >= new.received_at for each in statements):
+        return statements
+    kept = []
+    for each in statements:
+        if new.sent_at >= each.received_at:
+            continue
+        if each.rate != new.rate:
+            kept.append(each)
+            continue
+        new = Statement(
+            new.rate,
+            max(new.sent_at, each.sent_at),
+            max(new.received_at, each.received_at),
+        )
+    if len(kept) == MAX_STATEMENTS:
+        kept.remove(max(kept, key=lambda each: each.order))
+    return (*kept, new)
 
 
 class Shares(typing.Protocol):
@@ -100,18 +121,27 @@
 class _KnownLimit:
     """What is known of the limit of one incarnation.
 
-    ``sent_at`` is the time of this VM's last request, and ``heard_at`` that
-    of the last report from a peer.
+    ``statements`` are those that may be the latest one. ``changed_at`` is the
+    time of the last change of the limit, ``sent_at`` that of this VM's last
+    request, and ``heard_at`` that of the last report from a peer.
     """
 
-    __slots__ = ("heard_at", "sent_at", "statement")
+    __slots__ = ("changed_at", "heard_at", "sent_at", "statements")
 
     def __init__(self, statement: Statement) -> None:
-        self.statement = statement
+        self.statements = (statement,)
+        self.changed_at = statement.received_at
         # Requests were sent without a limit until now.
         self.sent_at = statement.received_at
         self.heard_at = statement.received_at
 
+    @property
+    def statement(self) -> Statement:
+        """Return the statement that counts."""
+        if len(self.statements) == 1:
+            return self.statements[0]
+        return min(self.statements, key=lambda each: each.order)
+
 
 class InstanceLimits:
     """The limits that the instances of one service have named."""
@@ -133,7 +163,7 @@
         return tuple(self._known_by_incarnation)
 
     def statement(self, instance: documents.Instance) -> Statement | None:
-        """Return the statement in force on an instance, or None."""
+        """Return the statement that counts for an instance, or None."""
         known = self._find(instance)
         return None if known is None else known.statement
 
@@ -192,9 +222,8 @@
         known = self._find(instance)
         if known is None:
             return False
-        statement = known.statement
-        if statement.rate is None and (
-            now - statement.received_at > DROP_REPEAT_TIME
+        if known.statement.rate is None and (
+            now - known.changed_at > DROP_REPEAT_TIME
         ):
             return False
         if now - known.heard_at > MAX_SILENCE:
@@ -209,15 +238,16 @@
         if known is None:
             return self._record_first(instance, statement)
         previous = known.statement
-        if previous.rate is None and statement.rate is None:
-            return None
-        if not replaces(statement, previous):
-            return None
-        known.statement = statement
-        age = statement.received_at - previous.received_at
-        if statement.rate == previous.rate and age < TRIAL_AGE:
+        known.statements = add_statement(known.statements, statement)
+        current = known.statement
+        if current.rate != previous.rate:
+            known.changed_at = statement.received_at
+            return Change(previous.rate, current.rate)
+        if current.rate is None or (
+            current.received_at - previous.received_at < TRIAL_AGE
+        ):
             return None
-        return Change(previous.rate, statement.rate)
+        return Change(previous.rate, current.rate)
 
     def _record_first(
         self, instance: documents.Instance, statement: Statement
--- a/tests/decisions/test_instance_limits.py
+++ b/tests/decisions/test_instance_limits.py
@@ -1,11 +1,24 @@
 """The limits that instances name, from answers in any order."""
 
+import hypothesis
+from hypothesis import strategies
 import testtools
 
 from primrosemill.decisions import instance_limits
 from tests.builders import load
 
 INSTANCE = load.Instance(0).record
+ANSWERS = strategies.lists(
+    strategies.builds(
+        lambda rate, sent_at, duration: instance_limits.Statement(
+            rate, sent_at, sent_at + duration
+        ),
+        strategies.sampled_from((None, 1.0, 2.0, 3.0)),
+        strategies.integers(0, 20),
+        strategies.integers(1, 10),
+    ),
+    max_size=8,
+)
 
 
 def statement(rate, sent_at, received_at):
@@ -49,6 +62,38 @@
         self.assertIsNone(self.record(1.0, 2.5, 3.0))
         self.assertIsNone(self.limits.rate(INSTANCE))
 
+    # Guards against a limit that an answer made before it lifts or raises.
+    @hypothesis.given(strategies.permutations(range(8)), ANSWERS)
+    def test_strictest_statement_that_may_be_the_latest_counts(
+        self, order, answers
+    ):
+        """In any order of arrival, as answers and reports overtake others."""
+        answers = [answers[index] for index in order if index < len(answers)]
+        statements = ()
+        recorded = []
+        for answer in answers:
+            recorded.append(answer)
+            statements = instance_limits.add_statement(statements, answer)
+            maybe_latest = [
+                each.order
+                for each in recorded
+                if not any(
+                    other.sent_at >= each.received_at
+                    for other in recorded
+                    if other is not each
+                )
+            ]
+            self.assertEqual(
+                min(maybe_latest), min(each.order for each in statements)
+            )
+
+    def test_repeated_limit_is_as_late_as_the_latest_request_for_it(self):
+        self.record(1.0, 0.0, 9.0)
+        self.record(5.0, 10.0, 11.0)
+        self.record(5.0, 8.0, 12.0)
+        self.assertIsNone(self.record(1.0, 0.0, 9.5))
+        self.assertEqual(5.0, self.limits.rate(INSTANCE))
+
     def test_restarted_instance_has_no_limit(self):
         self.record(1.0, 1.0, 1.1)
         self.assertIsNone(self.limits.rate(INSTANCE._replace(boot=9)))
