--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -14,6 +14,7 @@
 from primrosemill.standins import asgi
 from primrosemill.standins import users_instance
 from primrosemill.standins import users_store
+from tests.builders import answers
 
 IP = "127.0.0.1"
 HOST = "bookings.example"
@@ -206,13 +207,21 @@
 
 def run(check, *args, **kwargs) -> None:
     """Run a check with a VM that serves."""
+    _run(check, running(*args, **kwargs))
 
-    async def main() -> None:
+
+def run_fleet(check, vm_count: int, **kwargs) -> typing.Any:
+    """Run a check with a fleet whose VMs serve; return its result."""
+    return _run(check, running_fleet(vm_count, **kwargs))
+
+
+def _run(check, context) -> typing.Any:
+    async def main() -> typing.Any:
         with trio.fail_after(CHECK_TIMEOUT):
-            async with running(*args, **kwargs) as built:
-                await check(built)
+            async with context as built:
+                return await check(built)
 
-    trio.run(main)
+    return trio.run(main)
 
 
 async def wait_until_ready(built: Running) -> None:
@@ -257,6 +266,26 @@
         )
 
 
+class Refusal(typing.NamedTuple):
+    """An answer that refuses a request; times in seconds."""
+
+    reason: str
+    retry_after: float
+    elapsed: float
+
+
+async def call_refused(built: Running, request_id: str) -> Refusal:
+    """Send a request that must be refused with status 503."""
+    started = trio.current_time()
+    response = await call(built, READ_PATH, request_id)
+    assert response.status == 503, response.status
+    return Refusal(
+        answers.header(response, "x-outcome-reason"),
+        float(answers.header(response, "retry-after")),
+        trio.current_time() - started,
+    )
+
+
 def runs(built: Running) -> list[users_instance.Run]:
     """Return the runs of all instances."""
     return [run for each in built.instances for run in each.runs]
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -8,7 +8,6 @@
 from primrosemill.proxy import headers as proxy_headers
 from primrosemill.standins import users_instance
 from primrosemill.telemetry import events
-from tests.builders import answers
 from tests.builders import users_platform as builders
 
 ResponseMode = users_instance.ResponseMode
@@ -96,14 +95,10 @@
                 each.mode = ResponseMode.SHED
                 each.retry_after = b"20"
             await builders.call(built, builders.READ_PATH, "r0")
-            started = trio.current_time()
-            response = await builders.call(built, builders.READ_PATH, "r1")
-            self.assertLess(trio.current_time() - started, 0.2)
-            self.assertEqual(503, response.status)
-            reason = answers.header(response, "x-outcome-reason")
-            self.assertEqual("instances_paused", reason)
-            retry_after = float(answers.header(response, "retry-after"))
-            self.assertTrue(18.0 < retry_after <= 20.5, retry_after)
+            refusal = await builders.call_refused(built, "r1")
+            self.assertLess(refusal.elapsed, 0.2)
+            self.assertEqual("instances_paused", refusal.reason)
+            self.assertTrue(18.0 < refusal.retry_after <= 20.5, refusal)
             shed_count = sum(len(each.turned_away) for each in built.instances)
             self.assertEqual(2, shed_count)
 
--- a/tests/platform/test_instance_limits.py
+++ b/tests/platform/test_instance_limits.py
@@ -8,7 +8,6 @@
 
 from primrosemill.decisions import instance_limits
 from primrosemill.telemetry import events
-from tests.builders import answers
 from tests.builders import limits
 from tests.builders import users_platform as builders
 
@@ -53,11 +52,6 @@
     # Guards against VMs that ignore the limit, or each send as much as it
     # allows in total.
     def test_instance_gets_no_more_than_its_limit_from_all_vms_together(self):
-        async def main():
-            with trio.fail_after(builders.CHECK_TIMEOUT):
-                async with builders.running_fleet(VM_COUNT) as fleet:
-                    await check(fleet)
-
         async def check(fleet):
             limited, other = fleet.instances
             for each in fleet.instances:
@@ -85,7 +79,7 @@
             self.assertLessEqual(set(statuses), {200, 503})
             self.assertGreater(len(other.arrived_at), len(limited.arrived_at))
 
-        trio.run(main)
+        builders.run_fleet(check, VM_COUNT)
 
 
 def limit_events(logger):
@@ -101,11 +95,6 @@
     def test_vm_without_requests_learns_of_a_limit_and_of_its_end(
         self, logger
     ):
-        async def main():
-            with trio.fail_after(builders.CHECK_TIMEOUT):
-                async with builders.running_fleet(2, count=1) as fleet:
-                    await check(fleet)
-
         def changes_by_source(source):
             return [
                 (each["previous"], each["limit"])
@@ -133,17 +122,12 @@
                 [(None, 50.0), (50.0, None)], changes_by_source("answer")
             )
 
-        trio.run(main)
+        builders.run_fleet(check, 2, count=1)
 
     @eliot.testing.capture_logging(None)
     def test_vm_that_starts_learns_of_a_limit_before_its_first_request(
         self, logger
     ):
-        async def main():
-            with trio.fail_after(builders.CHECK_TIMEOUT):
-                async with builders.running_fleet(1, count=1) as fleet:
-                    await check(fleet)
-
         async def check(fleet):
             fleet.instances[0].limit = b"50"
             await builders.call(fleet.vms[0], builders.READ_PATH, "r0")
@@ -157,7 +141,7 @@
             )
             self.assertEqual("peer", limit_events(logger)[1]["source"])
 
-        trio.run(main)
+        builders.run_fleet(check, 1, count=1)
 
     @eliot.testing.capture_logging(None)
     def test_invalid_limit_is_logged_once_and_ignored(self, logger):
@@ -180,12 +164,9 @@
             (instance,) = built.instances
             instance.limit = b"0.1"
             await builders.call(built, builders.READ_PATH, "r0")
-            started = trio.current_time()
-            response = await builders.call(built, builders.READ_PATH, "r1")
-            self.assertLess(trio.current_time() - started, 0.2)
-            self.assertEqual(503, response.status)
-            reason = answers.header(response, "x-outcome-reason")
-            self.assertEqual("instances_limited", reason)
+            refusal = await builders.call_refused(built, "r1")
+            self.assertLess(refusal.elapsed, 0.2)
+            self.assertEqual("instances_limited", refusal.reason)
             self.assertEqual(1, len(instance.runs))
 
         builders.run(check, count=1)
@@ -209,21 +190,19 @@
                 if message["message_type"] == events.LIMIT_SHARE.number
             ]
 
-        async def main():
-            with trio.fail_after(builders.CHECK_TIMEOUT):
-                async with builders.running_fleet(2, count=1) as fleet:
-                    last = await fleet.start_vm(stop_seconds=1.0)
-                    fleet.instances[0].limit = str(self.LIMIT).encode()
-                    await builders.call(fleet.vms[0], builders.READ_PATH)
-                    # The two entry points hold half of the limit each.
-                    while parts().count((self.LIMIT / 2, 0)) < 2:
-                        await trio.sleep(0.1)
-                    count = len(parts())
-                    await end_vm(last.vm)
-                    await trio.sleep(LOSS_TIME)
-                    return parts()[count:]
-
-        return trio.run(main)
+        async def check(fleet):
+            last = await fleet.start_vm(stop_seconds=1.0)
+            fleet.instances[0].limit = str(self.LIMIT).encode()
+            await builders.call(fleet.vms[0], builders.READ_PATH)
+            # The two entry points hold half of the limit each.
+            while parts().count((self.LIMIT / 2, 0)) < 2:
+                await trio.sleep(0.1)
+            count = len(parts())
+            await end_vm(last.vm)
+            await trio.sleep(LOSS_TIME)
+            return parts()[count:]
+
+        return builders.run_fleet(check, 2, count=1)
 
     @eliot.testing.capture_logging(None)
     def test_part_falls_when_a_vm_vanishes(self, logger):
