--- a/review/common/hostile.py
+++ b/review/common/hostile.py
@@ -45,10 +45,7 @@
     payload = int(chunk) * (len(block) // len(framed))
     blocks = int(size) // payload
     await asyncio.gather(
-        *(
-            play(ip, int(port), head, block, blocks)
-            for _ in range(int(count))
-        )
+        *(play(ip, int(port), head, block, blocks) for _ in range(int(count)))
     )
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -168,7 +168,9 @@
     def _range(self, query):
         prefix, after = query.get("prefix", ""), query.get("after", "")
         keys = sorted(
-            key for key in self._items if key.startswith(prefix) and key > after
+            key
+            for key in self._items
+            if key.startswith(prefix) and key > after
         )
         return {
             "items": [self._items[key] for key in keys[:PAGE_SIZE]],
@@ -191,7 +193,7 @@
         while not found() and (left := end - time.monotonic()) > 0:
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 break
         return {"events": found(), "store_revision": self.revision}
 
@@ -203,7 +205,15 @@
     """
 
     def __init__(
-        self, name, service, zone, record, slots=2, work=None, queue=12, **where
+        self,
+        name,
+        service,
+        zone,
+        record,
+        slots=2,
+        work=None,
+        queue=12,
+        **where,
     ):
         super().__init__(**where)
         self.name = name
@@ -370,7 +380,7 @@
             await asyncio.wait_for(
                 self._read(reader, answer), limit_ms / 1000 + grace
             )
-        except asyncio.TimeoutError:
+        except TimeoutError:
             answer.fault = "no answer"
         except (ConnectionError, asyncio.IncompleteReadError) as error:
             answer.fault = f"connection ended: {type(error).__name__}"
@@ -425,7 +435,9 @@
             return ",".join(map(str, found))
         return "" if found is None else str(found)
 
-    text = re.sub(r"\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n", section, template, flags=re.S)
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}\n(.*?)\{\{/\1\}\}\n", section, template, flags=re.S
+    )
     return re.sub(r"\{\{([\w.]+)\}\}", value, text)
 
 
@@ -550,7 +562,7 @@
             writer.write(encode("GET /-/readiness HTTP/1.1", [("Host", "x")]))
             head = await asyncio.wait_for(read_head(reader), 2.0)
             return head is not None and " 200" in head[0]
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         finally:
             writer.close()
@@ -570,7 +582,7 @@
             body = await read_body(reader, head[1])
             writer.close()
             return json.loads(body)["addresses"]
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return []
 
     def close(self):
@@ -583,11 +595,20 @@
         self._folder.cleanup()
 
 
+def start_crowd(address, host, path, count, chunk, size):
+    """Start clients that stop short of the end of a body in chunks."""
+    script = pathlib.Path(__file__).with_name("hostile.py")
+    words = (address, host, path, count, chunk, size)
+    return subprocess.Popen([sys.executable, str(script), *map(str, words)])
+
+
 class CaseError(Exception):
     """The case could not run."""
 
 
-def route(name, host, prefix, service, kind="idempotent", timeout_ms=5000, **more):
+def route(
+    name, host, prefix, service, kind="idempotent", timeout_ms=5000, **more
+):
     return {
         "name": name,
         "host": host,
