--- a/review/4/case.py
+++ b/review/4/case.py
@@ -22,6 +22,7 @@
 LIMIT_MS = 10000
 WORK = 5.0  # seconds
 GRACE_S = 10
+DELAY = 0.0014  # seconds one way to an instance of another zone
 SENT_AFTER = 4.3  # seconds after the SIGTERM
 TTL = 1.0  # seconds
 
@@ -30,7 +31,7 @@
     store = standins.Store()
     await store.open()
     instance = standins.Instance(
-        "i-0", SERVICE, ZONE, record, slots=3, work=lambda h: WORK
+        "i-0", SERVICE, ZONE, record, slots=3, work=lambda h: WORK, delay=DELAY
     )
     await instance.open()
     route = standins.route(
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -213,6 +213,7 @@
         slots=2,
         work=None,
         queue=12,
+        delay=0.0,
         **where,
     ):
         super().__init__(**where)
@@ -230,6 +231,8 @@
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._queue = queue
+        # Seconds that bytes take on the way, each way.
+        self._delay = delay
 
     def entry(self, sequence=1):
         return {
@@ -251,6 +254,7 @@
         while (head := await read_head(reader)) is not None:
             first, headers = head
             body = await read_body(reader, headers)
+            await asyncio.sleep(self._delay)
             keeps = await self._answer(first, headers, body, reader, writer)
             if not keeps:
                 return
@@ -304,6 +308,7 @@
             status = "200 OK" if work <= left else "504 Late"
             self._record.add("done", id=request, status=status)
             own.append(("Primrosemill-Server-Signature", f"by.{request}"))
+            await asyncio.sleep(self._delay)
             writer.write(
                 encode(f"HTTP/1.1 {status}", own, f"of {request}".encode())
             )
