Log the requests that a stop cuts off

A VM that stopped logged how many requests it cut off, but not which, nor how far they had come. So a request that had waited for an instance looked like one at which an instance was at work, and like one whose connection was taken for idle.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -33,6 +33,7 @@
 from primrosemill.proxy import request_policies
 from primrosemill.proxy import request_recorder
 from primrosemill.proxy import request_watch
+from primrosemill.proxy import requests_in_progress
 from primrosemill.proxy import served_requests
 from primrosemill.proxy import ticket_inspection
 from primrosemill.proxy import tracked_attempts
@@ -114,7 +115,7 @@
         self._draining = False
         # When requests in flight are cut off, a trio time.
         self._cut_off_at = math.inf
-        self.in_flight = 0
+        self._requests = requests_in_progress.RequestsInProgress()
 
     def begin_stop(self, cut_off_at: float) -> None:
         """End requests that arrive from now on before the VM cuts them off.
@@ -236,8 +237,7 @@
         caller = callers.Caller(
             send, body, connection, self._is_closing, self._dialect
         )
-        self.in_flight += 1
-        started = trio.current_time()
+        request = self._requests.add(request_id, caller)
         try:
             ticket = ticket_inspection.read_ticket(
                 self.inspector,
@@ -249,17 +249,26 @@
                 result = ticket
             else:
                 result = await self._handle_request(
-                    scope, body, caller, watch, ticket
+                    scope, body, caller, watch, ticket, request
                 )
             await _send_result(result, caller)
             self._recorder.record_result(
-                result, started, trio.current_time(), request_id
+                result, request.arrived, trio.current_time(), request_id
             )
         finally:
-            self.in_flight -= 1
+            self._requests.remove(request)
             watch.close()
             caller.detach()
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests without their final answer."""
+        return len(self._requests)
+
+    def log_cut_off(self) -> None:
+        """Log the requests that end with the process."""
+        self._requests.log_cut_off()
+
     def waiting(self, service: str) -> int:
         """Return the number of requests that wait for a slot of a service."""
         return self._dispatchers_by_service[service].waiting
@@ -282,6 +291,7 @@
         caller: callers.Caller,
         watch: request_watch.RequestWatch,
         ticket: forwarding_tickets.Ticket | None,
+        request: requests_in_progress.RequestInProgress,
     ) -> exchange.Result:
         now = trio.current_time()
         self.read_news()
@@ -331,7 +341,7 @@
             customer,
             functools.partial(self.access.recheck, key, customer),
         )
-        result = await self._run_within_cap(context, caller)
+        result = await self._run_within_cap(context, caller, request)
         served = served_requests.is_served(result, context.loss)
         if served is not None:
             context.dispatcher.record_end(context.loss, served)
@@ -370,6 +380,7 @@
         self,
         context: tracked_attempts.RequestContext,
         caller: callers.Caller,
+        request: requests_in_progress.RequestInProgress,
     ) -> exchange.Result:
         """Run a request if its customer's cap allows it.
 
@@ -389,7 +400,7 @@
             self._policies.retries.request_started(
                 context.service, admitted_at
             )
-        result = await self._run_exchange(context, caller)
+        result = await self._run_exchange(context, caller, request)
         if capped is not None and isinstance(result, request_policies.Refused):
             self.caps.give_back(capped, admitted_at)
         return result
@@ -459,6 +470,7 @@
         self,
         context: tracked_attempts.RequestContext,
         caller: callers.Caller,
+        request: requests_in_progress.RequestInProgress,
     ) -> exchange.Result:
         outgoing = context.outgoing
         request_exchange = exchange.Exchange(
@@ -468,6 +480,7 @@
             self._recorder,
             self._hedge_runner,
         )
+        request.set_exchange(request_exchange, outgoing.deadline)
         with trio.CancelScope(deadline=outgoing.deadline) as scope:
             caller.attach(scope)
             try:
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -112,6 +112,11 @@
         """Return why the request may have run, or None if it has not run."""
         return self._unknown_outcome
 
+    @property
+    def is_attempting(self) -> bool:
+        """Return whether an instance or another VM may be at work on it."""
+        return self._attempting
+
     @property
     def deadline_reason(self) -> outcomes.RefusalReason:
         """Return the reason for refusing a request at its deadline.
--- a/packages/proxy/src/primrosemill/proxy/shutdown.py
+++ b/packages/proxy/src/primrosemill/proxy/shutdown.py
@@ -95,4 +95,5 @@
             requests_in_flight=self._application.in_flight,
             cause=cause,
         )
+        self._application.log_cut_off()
         self._run_scope.cancel()
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -67,6 +67,16 @@
     "the end of the time for a graceful stop.",
     ("vm_id", "requests_in_flight", "cause"),
 )
+REQUEST_CUT_OFF = Event(
+    "PM1007",
+    "request_cut_off",
+    Level.WARNING,
+    "The VM stops and ends a request without its final answer. `phase` is how "
+    "far it had come: `admission`, `waiting` for a turn, its body or an "
+    "instance, `passed_on` to an instance or a VM, or `answering`; `age` and "
+    "`seconds_left` of its time limit in seconds.",
+    ("request_id", "phase", "age", "seconds_left"),
+)
 CONNECTIONS_GIVEN_UP = Event(
     "PM1006",
     "connections_given_up",
@@ -529,6 +539,7 @@
     VM_LEAVING,
     VM_STOPPED,
     VM_STOP_CUT_SHORT,
+    REQUEST_CUT_OFF,
     CONNECTIONS_GIVEN_UP,
     VM_DETACHED,
     CONFIGURATION_IN_FORCE,
