Answer requests that wait before a VM stops

Cause: the end of the VM was a shorter time limit for requests that arrived after the signal. What had been read before kept its own, in the queue, in the scope that ends a request, and in the decisions on repeats and hedges, and was cancelled with the process. Evidence: the log of request_cut_off shows six that wait with 4.2 to 4.4 s left. Ruled out: connections that count as idle; these would be gone before the end.

The signal brings all scopes and both queues forward, in both programs; queues that close refuse what their estimate rules out. Attempts, repeats, hedges and passing on to other VMs are checked against the end before they start. What is at an instance gets 504 before connections are cut, which was a closed connection.

--- a/packages/decisions/src/primrosemill/decisions/allocation.py
+++ b/packages/decisions/src/primrosemill/decisions/allocation.py
@@ -206,6 +206,10 @@
         if outcome is slot_pool.SlotOutcome.SHED:
             self.selector.record_shed(instance_id, now)
 
+    def end_by(self, time: float) -> None:
+        """Refuse waiting requests that can't be served by this time."""
+        self._queue.end_by(time)
+
     def cancel(self, ticket: int) -> bool:
         """Remove a request from the queue; return whether it was queued."""
         self._requests_by_ticket.pop(ticket, None)
--- a/packages/decisions/src/primrosemill/decisions/dispatch.py
+++ b/packages/decisions/src/primrosemill/decisions/dispatch.py
@@ -145,6 +145,16 @@
         self.pool.release(now, instance_id, hold_time, outcome)
         return self.wake(now)
 
+    def end_by(self, time: float, now: float) -> list[int]:
+        """Remove the queued requests that can't be answered by this time.
+
+        Returns their tickets.
+        """
+        removed = self._queue.end_by(
+            time - self.pool.mean_hold_time, now, self.pool.drain_rate(now)
+        )
+        return [waiter.ticket for waiter in removed]
+
     def cancel(self, ticket: int) -> bool:
         """Remove a request from the queue; return whether it was there."""
         return self._queue.remove(ticket)
--- a/packages/decisions/src/primrosemill/decisions/priority_queue.py
+++ b/packages/decisions/src/primrosemill/decisions/priority_queue.py
@@ -49,10 +49,24 @@
         self._capacity = capacity
         self._waiters_by_ticket: dict[int, Waiter] = {}
         self._arrivals_by_priority: dict[Priority, rate.Rate] = {}
+        self._is_closing = False
 
     def __len__(self) -> int:
         return len(self._waiters_by_ticket)
 
+    def end_by(self, time: float) -> None:
+        """Bring all deadlines forward to this time.
+
+        From now on a waiter is removed as soon as it can't be served by then,
+        also if it is not late yet: it may be served elsewhere.
+        """
+        self._is_closing = True
+        for ticket, waiter in self._waiters_by_ticket.items():
+            deadline = min(waiter.deadline, time)
+            self._waiters_by_ticket[ticket] = waiter._replace(
+                deadline=deadline
+            )
+
     def record_arrival(self, priority: Priority, now: float) -> None:
         """Count the arrival of a request, whether it has to wait or not."""
         arrivals = self._arrivals_by_priority.setdefault(priority, rate.Rate())
@@ -97,11 +111,12 @@
         """Remove and return the late waiters that can't be served in time.
 
         Requests on time overtake a late waiter, so it is removed when the
-        arrivals use up the drain rate.
+        arrivals use up the drain rate. After :meth:`end_by` those on time are
+        removed as well.
         """
         unservable = []
         for ahead, waiter in enumerate(self.in_order(now)):
-            if not _is_late(waiter, now):
+            if not self._is_closing and not _is_late(waiter, now):
                 continue
             wait = self._wait_behind(ahead, waiter, now, drain_rate)
             if self._is_unservable(waiter, wait, now):
--- a/packages/decisions/src/primrosemill/decisions/wait_queue.py
+++ b/packages/decisions/src/primrosemill/decisions/wait_queue.py
@@ -8,6 +8,7 @@
 
 import collections
 import heapq
+import itertools
 import typing
 
 from primrosemill.decisions import outcomes
@@ -126,6 +127,36 @@
                 return waiter
         return None
 
+    def end_by(
+        self, latest_start: float, now: float, drain_rate: float | None
+    ) -> list[Waiter]:
+        """Remove and return the waiters that can't start by this time.
+
+        Those that stay must start by then.
+        """
+        waiters_by_caller = self._waiters_by_caller.values()
+        rounds = itertools.zip_longest(
+            *(tuple(waiters.values()) for waiters in waiters_by_caller)
+        )
+        in_order = [
+            waiter
+            for waiter in itertools.chain.from_iterable(rounds)
+            if waiter is not None
+        ]
+        removed = []
+        for ahead, waiter in enumerate(in_order):
+            wait = ahead / drain_rate if drain_rate else 0.0
+            if now + wait > latest_start:
+                self.remove(waiter.ticket)
+                removed.append(waiter)
+                continue
+            self._waiters_by_caller[waiter.caller][waiter.ticket] = (
+                waiter._replace(
+                    latest_start=min(waiter.latest_start, latest_start)
+                )
+            )
+        return removed
+
     def push_front(self, waiter: Waiter) -> None:
         """Put a request that found no slot back at the head of the queue."""
         self._add(waiter)
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -1,7 +1,6 @@
 """Handles callers' requests, from finding the route to the answer."""
 
 import functools
-import math
 import random
 import typing
 
@@ -10,6 +9,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import paths
+from primrosemill.decisions import planned_stop
 from primrosemill.decisions import request_losses
 from primrosemill.decisions import routes
 from primrosemill.decisions import splits
@@ -41,11 +41,6 @@
 from primrosemill.proxy.customers import access
 
 HOUSEKEEPING_INTERVAL = 0.25  # seconds; far below the time of a cold start
-# Time before the end of a planned stop at which requests end that arrived in
-# it, so that their callers still get an answer.
-CUT_OFF_MARGIN = 0.2  # seconds
-# Callers that are refused as this VM stops may ask another one at once.
-STOPPING_RETRY_AFTER = 0.05  # seconds
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
 
 RouteLookup = routes.Match | request_policies.Refused
@@ -113,16 +108,16 @@
         self.inspector: forwarding_tickets.Inspector | None = None
         self.closing = False
         self._draining = False
-        # When requests in flight are cut off, a trio time.
-        self._cut_off_at = math.inf
         self._requests = requests_in_progress.RequestsInProgress()
 
-    def begin_stop(self, cut_off_at: float) -> None:
-        """End requests that arrive from now on before the VM cuts them off.
+    def begin_stop(self, times: planned_stop.Times) -> None:
+        """Answer each request before the VM cuts off its connections.
 
-        ``cut_off_at`` is a trio time.
+        The times are trio times.
         """
-        self._cut_off_at = cut_off_at
+        self._requests.begin_stop(times)
+        for dispatcher in self._dispatchers_by_service.values():
+            dispatcher.end_by(times.answers_by)
 
     def begin_drain(self) -> None:
         """Refuse requests that arrive from now on.
@@ -145,6 +140,9 @@
             else:
                 dispatcher.set_service(service)
             self._dispatchers_by_service[name] = dispatcher
+        if self._requests.stop.has_begun:
+            for dispatcher in self._dispatchers_by_service.values():
+                dispatcher.end_by(self._requests.stop.answers_by)
 
     def set_ranks(
         self, service: str, rank_by_instance_id: dict[str, int]
@@ -298,7 +296,11 @@
         refused = self._refuse_early(scope)
         if refused is not None:
             return refused
-        identified = await self._identify(scope, ticket)
+        identified: Identified | request_policies.Refused = (
+            request_policies.STOPPING
+        )
+        with request.open_scope(self._requests.stop.answers_by):
+            identified = await self._identify(scope, ticket)
         if isinstance(identified, request_policies.Refused):
             return identified
         match, customer = identified
@@ -321,7 +323,6 @@
             key = self.access.read_key(scope["headers"])
         outgoing = outgoing._replace(
             headers=self.access.rewrite(outgoing.headers, customer),
-            deadline=min(outgoing.deadline, self._cut_off_at - CUT_OFF_MARGIN),
             credentials=self.access.build_credentials(key),
         )
         if ticket is not None and outgoing.request_id is not None:
@@ -336,6 +337,7 @@
             watch,
             self.read_news,
             request_losses.RequestLoss(),
+            self._requests.stop,
             self.forwarding,
             ticket is not None,
             customer,
@@ -388,9 +390,9 @@
         """
         capped = None if context.is_forwarded else context.customer
         if capped is not None:
-            refused = await self.caps.acquire(
-                capped, context.outgoing.deadline
-            )
+            refused = request_policies.STOPPING
+            with request.open_scope(self._requests.stop.answers_by):
+                refused = await self.caps.acquire(capped, context.latest_end)
             if refused is not None:
                 return refused
             recheck = self.caps.check_start(capped, context.recheck_key)
@@ -410,9 +412,7 @@
     ) -> request_policies.Refused | None:
         """Return the refusal of a request whatever its route is."""
         if self._draining:
-            return request_policies.Refused(
-                outcomes.RefusalReason.STOPPING, STOPPING_RETRY_AFTER
-            )
+            return request_policies.STOPPING
         if _head_size(scope) > self.bounds.max_head_size:
             return request_policies.Refused(
                 outcomes.RefusalReason.HEAD_TOO_LARGE
@@ -481,7 +481,7 @@
             self._hedge_runner,
         )
         request.set_exchange(request_exchange, outgoing.deadline)
-        with trio.CancelScope(deadline=outgoing.deadline) as scope:
+        with request.open_scope(context.latest_end) as scope:
             caller.attach(scope)
             try:
                 # If an earlier answer closes the connection, the caller
--- a/packages/proxy/src/primrosemill/proxy/balancers.py
+++ b/packages/proxy/src/primrosemill/proxy/balancers.py
@@ -6,6 +6,7 @@
 attempts.
 """
 
+import math
 import random
 import typing
 
@@ -135,6 +136,19 @@
             return _to_grant(refusal)
         return waiter.result
 
+    def end_by(self, time: float) -> None:
+        """Refuse waiting requests that can't be answered by this time."""
+        self.allocation.end_by(time)
+        self.wake()
+
+    def usual_time(self, route: str) -> float:
+        """Return the seconds that few answers of a route exceed."""
+        response_times = self.allocation.response_times
+        overdue_after = response_times.overdue_after(route)
+        if math.isfinite(overdue_after):
+            return overdue_after
+        return response_times.mean(route)
+
     def acquire_instance(self, instance_id: str) -> documents.Instance | None:
         """Return None: trials are part of the allocation's own choice."""
         return None
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -11,6 +11,7 @@
 from primrosemill.decisions import addresses as decided_addresses
 from primrosemill.decisions import fingerprints
 from primrosemill.decisions import home_vms
+from primrosemill.decisions import planned_stop
 from primrosemill.decisions import quarantine as quarantines
 from primrosemill.decisions import standings
 from primrosemill.fleet import interfaces
@@ -170,9 +171,16 @@
         """Leave the fleet, finish requests in flight, then end run().
 
         Callers with older addresses are served until these expire. Requests
-        still in flight after the stop timeout of the settings are cut off.
+        have their answers within the stop timeout of the settings after that;
+        an answer that is still passed on then is cut off.
         """
+        started = trio.current_time()
+        open_until = started + self._answer_lifetime
+        deadline = open_until + self._settings.stop_seconds
         self._directory.set_leaving()
+        self._application.begin_stop(
+            planned_stop.plan(started, open_until, deadline)
+        )
         events.emit(
             events.VM_LEAVING,
             vm_id=self._settings.vm_id,
@@ -180,11 +188,9 @@
             serve_seconds=self._answer_lifetime,
         )
         await self.peers.node.announce_leaving()
-        await trio.sleep(self._answer_lifetime)
+        await trio.sleep_until(open_until)
         self._application.closing = True
-        await self._stopper.drain_and_stop(
-            trio.current_time() + self._settings.stop_seconds
-        )
+        await self._stopper.drain_and_stop(deadline)
 
     def stop_immediately(self, cause: str) -> None:
         """End run() now and cut off the requests in flight."""
--- a/packages/proxy/src/primrosemill/proxy/dispatcher.py
+++ b/packages/proxy/src/primrosemill/proxy/dispatcher.py
@@ -139,6 +139,17 @@
             return self._refuse(outcomes.RefusalReason.DEADLINE, now)
         return waiter.result
 
+    def end_by(self, time: float) -> None:
+        """Refuse waiting requests that can't be answered by this time."""
+        now = trio.current_time()
+        for ticket in self._dispatch.end_by(time, now):
+            waiter = self._waiters_by_ticket.pop(ticket)
+            waiter.resolve(self._refuse(outcomes.RefusalReason.DEADLINE, now))
+
+    def usual_time(self, route: str) -> float:
+        """Return the seconds that an answer takes; the same for all routes."""
+        return self.slots.mean_hold_time
+
     def acquire_instance(self, instance_id: str) -> documents.Instance | None:
         """Acquire a slot of the given instance for a trial, if it has one."""
         return self.slots.acquire_instance(trio.current_time(), instance_id)
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -18,6 +18,7 @@
 from primrosemill.decisions import fingerprints
 from primrosemill.decisions import home_vms
 from primrosemill.decisions import limit_shares
+from primrosemill.decisions import planned_stop
 from primrosemill.decisions import quarantine as quarantines
 from primrosemill.decisions import retry_budget
 from primrosemill.fleet import boot_clock
@@ -293,15 +294,19 @@
         """Leave the fleet, finish requests in flight, then end run().
 
         Callers with older directions are served for part of the stop timeout.
-        Requests that are still in flight near its end are cut off.
+        Requests have their answers before its end; an answer that is still
+        passed on then is cut off.
         """
         started = trio.current_time()
         timeout = self._settings.stop_seconds
         self._leaving = True
         self._isolation.stop()
         self._application.closing = True
+        open_until = started + SERVE_FRACTION * timeout
         deadline = started + (1.0 - EXIT_FRACTION) * timeout
-        self._application.begin_stop(deadline)
+        self._application.begin_stop(
+            planned_stop.plan(started, open_until, deadline)
+        )
         events.emit(
             events.VM_LEAVING,
             vm_id=self._settings.vm_id,
@@ -309,7 +314,7 @@
             serve_seconds=SERVE_FRACTION * timeout,
         )
         await self.peers.node.announce_leaving()
-        await trio.sleep(SERVE_FRACTION * timeout)
+        await trio.sleep_until(open_until)
         await self._stopper.drain_and_stop(deadline)
 
     def stop_immediately(self, cause: str) -> None:
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -168,8 +168,11 @@
     ) -> documents.Instance | _Helper | request_policies.Refused:
         """Return an instance with a slot taken, or a VM that helps.
 
-        While this VM reaches no instance, other VMs serve its requests.
+        While this VM reaches no instance, other VMs serve its requests. It
+        stops passing on what would not end before it does.
         """
+        if not self._context.can_end:
+            return request_policies.STOPPING
         forwarding, service = self._context.forwarding, self._context.service
         if forwarding is None:
             return await self._choose_instance(failed_id)
@@ -254,6 +257,8 @@
         if isinstance(instance, request_policies.Refused):
             return instance
         refused = watch.recheck() or self._context.recheck_key()
+        if refused is None and not self._context.can_end:
+            refused = request_policies.STOPPING
         if refused is None:
             return instance
         self._context.dispatcher.release(
@@ -274,7 +279,7 @@
 
     async def conclude_after_deadline(self) -> Result:
         """Return the result of a request whose deadline has passed."""
-        refused = request_policies.Refused(self.deadline_reason)
+        refused = self._adjust_refusal(self._refuse_late())
         return await self._conclude(self._unknown_outcome or refused)
 
     async def conclude_evicted(self) -> Result:
@@ -337,9 +342,18 @@
         self, refused: request_policies.Refused
     ) -> request_policies.Refused:
         """Set the precise reason of a refusal at the deadline."""
-        if refused.reason is outcomes.RefusalReason.DEADLINE:
-            return refused._replace(reason=self.deadline_reason)
-        return refused
+        if refused.reason is not outcomes.RefusalReason.DEADLINE:
+            return refused
+        late = self._refuse_late()
+        if late is request_policies.STOPPING:
+            return late
+        return refused._replace(reason=self.deadline_reason)
+
+    def _refuse_late(self) -> request_policies.Refused:
+        """Return the refusal of a request whose time is over."""
+        if self._context.stop.shortens(self._context.outgoing.deadline):
+            return request_policies.STOPPING
+        return request_policies.Refused(outcomes.RefusalReason.DEADLINE)
 
     def _slot_request(
         self, failed_id: str | None = None
@@ -361,7 +375,7 @@
                 allowed_ids = frozenset(self._attempted_ids)
         return dispatch.SlotRequest(
             self._context.caller_id,
-            outgoing.deadline,
+            self._context.latest_end,
             outgoing.idempotent,
             frozenset(excluded_ids),
             allowed_ids,
@@ -410,10 +424,8 @@
             return self._unknown_outcome or request_policies.Refused(
                 outcomes.RefusalReason.BODY_SENT
             )
-        if trio.current_time() >= outgoing.deadline:
-            return self._unknown_outcome or request_policies.Refused(
-                outcomes.RefusalReason.DEADLINE
-            )
+        if trio.current_time() >= self._context.latest_end:
+            return self._unknown_outcome or self._refuse_late()
         decision = self._retries.decide(self._retry_facts(failure))
         if decision.action is request_policies.Action.GIVE_UP:
             return self._unknown_outcome or request_policies.Refused(
@@ -429,7 +441,7 @@
             self._attempts,
             failure,
             trio.current_time(),
-            outgoing.deadline,
+            self._context.latest_end,
         )
 
     async def _make_attempt(
@@ -495,7 +507,7 @@
         }
         if self._max_instances and len(attempted_ids) >= self._max_instances:
             return None
-        if not self._context.watch.may_hedge:
+        if not self._context.watch.may_hedge or not self._context.can_end:
             return None
         slot_request = self._slot_request()._replace(
             excluded_ids=frozenset(attempted_ids)
--- a/packages/proxy/src/primrosemill/proxy/forwarded_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/forwarded_attempts.py
@@ -41,7 +41,7 @@
             context.pool,
             helper,
             self._forwarding.build_outgoing(
-                context.outgoing, context.service, attempted
+                context.build_outgoing(), context.service, attempted
             ),
             _may_always_send,
         )
--- a/packages/proxy/src/primrosemill/proxy/request_policies.py
+++ b/packages/proxy/src/primrosemill/proxy/request_policies.py
@@ -19,6 +19,7 @@
 BASE_BACKOFF = 0.005  # seconds before the first retry
 MAX_BACKOFF = 0.1  # seconds
 DEFAULT_RETRY_AFTER = 1.0  # seconds
+STOPPING_RETRY_AFTER = 0.05  # seconds
 
 
 class Refused(typing.NamedTuple):
@@ -28,6 +29,10 @@
     retry_after: float = DEFAULT_RETRY_AFTER
 
 
+# The VM stops before the request can end; another one may be asked at once.
+STOPPING = Refused(outcomes.RefusalReason.STOPPING, STOPPING_RETRY_AFTER)
+
+
 class Admission(typing.Protocol):
     """Decides whether a caller may send another request now."""
 
--- a/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
+++ b/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
@@ -1,10 +1,14 @@
-"""Follows the requests of callers from their arrival to their final answer."""
+"""Follows the requests of callers from their arrival to their final answer.
+
+A VM that stops ends what it can't wait for, and logs what it cuts off.
+"""
 
 import enum
 import math
 
 import trio
 
+from primrosemill.decisions import planned_stop
 from primrosemill.proxy import callers
 from primrosemill.proxy import exchange
 from primrosemill.telemetry import events
@@ -30,6 +34,7 @@
         self.deadline = math.inf
         self._caller = caller
         self._exchange: exchange.Exchange | None = None
+        self._scope: trio.CancelScope | None = None
 
     @property
     def phase(self) -> Phase:
@@ -42,6 +47,11 @@
             return Phase.PASSED_ON
         return Phase.WAITING
 
+    def open_scope(self, deadline: float) -> trio.CancelScope:
+        """Return a scope for the next part of the work on the request."""
+        self._scope = trio.CancelScope(deadline=deadline)
+        return self._scope
+
     def set_exchange(
         self, request_exchange: exchange.Exchange, deadline: float
     ) -> None:
@@ -49,11 +59,17 @@
         self._exchange = request_exchange
         self.deadline = deadline
 
+    def end_by(self, time: float) -> None:
+        """End the current part of the work then; a begun answer goes on."""
+        if self._scope is not None and not self._caller.started:
+            self._scope.deadline = min(self._scope.deadline, time)
+
 
 class RequestsInProgress:
-    """The requests of one VM."""
+    """The requests of one VM, which its planned stop brings to an end."""
 
     def __init__(self) -> None:
+        self.stop = planned_stop.PlannedStop()
         self._requests: set[RequestInProgress] = set()
 
     def __len__(self) -> int:
@@ -71,6 +87,12 @@
         """Remove a request that has its final answer."""
         self._requests.discard(request)
 
+    def begin_stop(self, times: planned_stop.Times) -> None:
+        """Answer each request before connections are cut off."""
+        self.stop.begin(times)
+        for request in self._requests:
+            request.end_by(times.answers_by)
+
     def log_cut_off(self) -> None:
         """Log the requests that end with the process."""
         now = trio.current_time()
--- a/packages/proxy/src/primrosemill/proxy/shutdown.py
+++ b/packages/proxy/src/primrosemill/proxy/shutdown.py
@@ -74,9 +74,8 @@
     async def drain_and_stop(self, deadline: float) -> None:
         """Wait for requests in flight until the deadline, then stop.
 
-        ``deadline`` is a time of trio's clock.
+        ``deadline`` is a trio time; requests have their answers before it.
         """
-        self._application.begin_stop(deadline)
         self._application.begin_drain()
         with trio.move_on_at(deadline) as drain_scope:
             await self._caller_server.drain()
--- a/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
@@ -7,6 +7,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import dispatch
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import planned_stop
 from primrosemill.decisions import request_losses
 from primrosemill.decisions import slot_pool as slot_pools
 from primrosemill.proxy import attempts
@@ -44,6 +45,14 @@
         """Acquire a slot, waiting while the request can still start."""
         ...
 
+    def end_by(self, time: float) -> None:
+        """Refuse waiting requests that can't be answered by this time."""
+        ...
+
+    def usual_time(self, route: str) -> float:
+        """Return the seconds that most answers of a route take at most."""
+        ...
+
     def acquire_instance(self, instance_id: str) -> documents.Instance | None:
         """Acquire a slot of the given instance for a trial, if it has one."""
         ...
@@ -89,7 +98,7 @@
     ``is_forwarded`` means that another VM passed the request on, so this one
     must not. ``customer`` is the one that the request counts for, if any;
     ``recheck_key`` tells why its key does not hold any more. ``loss`` is
-    whether the request counts as lost.
+    whether the request counts as lost, ``stop`` the planned stop of this VM.
     """
 
     service: str
@@ -101,11 +110,31 @@
     watch: request_watch.RequestWatch
     read_news: typing.Callable[[], None]
     loss: request_losses.RequestLoss
+    stop: planned_stop.PlannedStop
     forwarding: peer_forwarding.PeerForwarding | None = None
     is_forwarded: bool = False
     customer: documents.Customer | None = None
     recheck_key: request_policies.Recheck = _never_refuse
 
+    @property
+    def latest_end(self) -> float:
+        """Return when the request has its answer, a trio time."""
+        return self.stop.latest_end(self.outgoing.deadline)
+
+    @property
+    def can_end(self) -> bool:
+        """Return whether this VM can wait for an answer of an instance."""
+        outgoing = self.outgoing
+        return self.stop.can_end(
+            outgoing.deadline,
+            self.dispatcher.usual_time(outgoing.route_name),
+            trio.current_time(),
+        )
+
+    def build_outgoing(self) -> attempts.Outgoing:
+        """Return the request with the time that an attempt has now."""
+        return self.outgoing._replace(deadline=self.latest_end)
+
     def may_send(self, instance: documents.Instance) -> bool:
         """Return whether a chosen instance still takes requests.
 
@@ -131,7 +160,10 @@
         self._context = context
         self.instance = instance
         self.attempt = attempts.Attempt(
-            context.pool, instance, context.outgoing, context.may_send
+            context.pool,
+            instance,
+            context.build_outgoing(),
+            context.may_send,
         )
         self.result: attempts.Result | None = None
         self.relay_failure: outcomes.Unknown | None = None
--- a/tests/decisions/test_priority_queue.py
+++ b/tests/decisions/test_priority_queue.py
@@ -69,3 +69,16 @@
         self.assertEqual(
             1.0, queue.estimate_wait(less_urgent_waiter, 0.0, 10.0)
         )
+
+    def test_waiters_that_cannot_end_before_a_stop_are_removed_at_once(self):
+        # Guards against requests that wait for a slot until the VM ends.
+        queue = priority_queue.PriorityQueue()
+        for number in range(20):
+            far = waiter(number, target=90.0, deadline=99.0)
+            self.assertIsNone(queue.enqueue(far, 0.0, 10.0))
+        self.assertEqual([], queue.pop_unservable(0.0, 10.0))
+        queue.end_by(1.1)
+        removed = queue.pop_unservable(0.0, 10.0)
+        self.assertEqual(list(range(9, 20)), [each.ticket for each in removed])
+        removed = queue.pop_unservable(1.0, 10.0)
+        self.assertEqual(list(range(9)), [each.ticket for each in removed])
--- a/tests/decisions/test_wait_queue.py
+++ b/tests/decisions/test_wait_queue.py
@@ -47,6 +47,18 @@
             wait_queues.Enqueued,
         )
 
+    def test_waiters_that_cannot_start_before_a_stop_are_removed(self):
+        # Guards against requests that wait for a slot until the VM ends.
+        wait_queue = build_queue(10, "a", "a", "a", "b", "c")
+        removed = wait_queue.end_by(1.5, 0.0, 2.0)
+        self.assertEqual([2], [each.ticket for each in removed])
+        self.assertEqual([0, 3, 4, 1], drain(wait_queue, 1.5))
+
+    def test_waiters_that_stay_do_not_start_after_a_stop(self):
+        wait_queue = build_queue(10, "a", "b")
+        self.assertEqual([], wait_queue.end_by(1.5, 0.0, 2.0))
+        self.assertEqual([], drain(wait_queue, 1.6))
+
     def test_a_new_caller_waits_less_than_a_caller_with_a_long_queue(self):
         wait_queue = build_queue(10, "a", "a", "a", "a")
         self.assertEqual(0.5, wait_queue.estimate_wait("b", 2.0))
--- a/tests/proxy/test_dispatcher.py
+++ b/tests/proxy/test_dispatcher.py
@@ -119,6 +119,17 @@
 
         self.run_under_mock_clock(test)
 
+    def test_a_request_that_cannot_end_before_a_stop_is_refused_at_once(self):
+        async def test(nursery):
+            await self.acquire_slots()
+            await self.enqueue(nursery, "a", "b")
+            self.dispatcher.end_by(trio.current_time())
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual("deadline", self.refusal_reason(0))
+            self.assertEqual("deadline", self.refusal_reason(1))
+
+        self.run_under_mock_clock(test)
+
     def test_a_full_queue_evicts_a_request_of_the_busiest_caller(self):
         async def test(nursery):
             await self.acquire_slots()
