Pass requests on in a planned stop only if they can end in it

Cause: what arrived in the first half of the time to stop was accepted with a shortened time limit, whatever it needed. Half of 6 s is within the 3 s that the platform excuses; half of 10 s is not. Evidence: 504 of the VM at 9.0 s, with 4.7 s handed to the instance in place of 10, and no request_cut_off.

Change: each request is judged on arrival, and again once its body is complete. In the open time, 2.75 s at most, what is expected to end is served; after it, and for requests of other VMs, what ends by its own time limit whatever the instance does. The rest gets 503 at once. Requests with short time limits, which were refused in the second half, are served.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -107,7 +107,6 @@
         self.forwarding: peer_forwarding.PeerForwarding | None = None
         self.inspector: forwarding_tickets.Inspector | None = None
         self.closing = False
-        self._draining = False
         self._requests = requests_in_progress.RequestsInProgress()
 
     def begin_stop(self, times: planned_stop.Times) -> None:
@@ -119,13 +118,6 @@
         for dispatcher in self._dispatchers_by_service.values():
             dispatcher.end_by(times.answers_by)
 
-    def begin_drain(self) -> None:
-        """Refuse requests that arrive from now on.
-
-        Too little time may be left for their instances to answer.
-        """
-        self._draining = True
-
     def set_document(self, document: documents.Document) -> None:
         """Apply a new version of the configuration."""
         self.access.set_document(document)
@@ -237,11 +229,9 @@
         )
         request = self._requests.add(request_id, caller)
         try:
+            id_value = self._dialect.find_request_id(scope["headers"])
             ticket = ticket_inspection.read_ticket(
-                self.inspector,
-                scope,
-                self._dialect.find_request_id(scope["headers"]),
-                self._counters,
+                self.inspector, scope, id_value, self._counters
             )
             if isinstance(ticket, request_policies.Refused):
                 result = ticket
@@ -325,6 +315,10 @@
             headers=self.access.rewrite(outgoing.headers, customer),
             credentials=self.access.build_credentials(key),
         )
+        if not self._requests.stop.admits(
+            outgoing.deadline, now, certain=ticket is not None
+        ):
+            return request_policies.STOPPING
         if ticket is not None and outgoing.request_id is not None:
             caller.echo = self._dialect.request_id, outgoing.request_id
         context = tracked_attempts.RequestContext(
@@ -411,8 +405,6 @@
         self, scope: asgi.Scope
     ) -> request_policies.Refused | None:
         """Return the refusal of a request whatever its route is."""
-        if self._draining:
-            return request_policies.STOPPING
         if _head_size(scope) > self.bounds.max_head_size:
             return request_policies.Refused(
                 outcomes.RefusalReason.HEAD_TOO_LARGE
@@ -536,15 +528,27 @@
         if not _is_large(outgoing):
             await body.read_start()
             if body.complete:
-                return await request_exchange.run()
+                return await self._run_after_body(request_exchange, outgoing)
         if not self._account.large_uploads.take():
             return request_policies.Refused(outcomes.RefusalReason.MEMORY)
         try:
             await body.read_start()
-            return await request_exchange.run()
+            return await self._run_after_body(request_exchange, outgoing)
         finally:
             self._account.large_uploads.give_back()
 
+    async def _run_after_body(
+        self,
+        request_exchange: exchange.Exchange,
+        outgoing: attempts.Outgoing,
+    ) -> exchange.Result:
+        """Run a request unless the VM has begun to stop while it was read."""
+        if not self._requests.stop.admits(
+            outgoing.deadline, trio.current_time(), certain=False
+        ):
+            return request_policies.STOPPING
+        return await request_exchange.run()
+
 
 def _is_large(outgoing: attempts.Outgoing) -> bool:
     """Return whether a body is announced that exceeds the buffer."""
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -62,8 +62,8 @@
 from primrosemill.proxy.customers import freshness_exchange
 
 VIEW_CHECK_INTERVAL = 0.25  # seconds between checks for changed members
-# Fraction of the stop timeout during which requests are still accepted,
-# because callers may hold older directions; then connections are closed.
+# Fraction of the stop timeout during which connections are still accepted,
+# because callers may hold older directions; then idle ones are closed.
 SERVE_FRACTION = 0.5
 # Fraction of the stop timeout that is reserved for the process to exit.
 EXIT_FRACTION = 0.08
@@ -302,7 +302,8 @@
         self._leaving = True
         self._isolation.stop()
         self._application.closing = True
-        open_until = started + SERVE_FRACTION * timeout
+        accepts_until = started + SERVE_FRACTION * timeout
+        open_until = min(accepts_until, started + planned_stop.MAX_OPEN_TIME)
         deadline = started + (1.0 - EXIT_FRACTION) * timeout
         self._application.begin_stop(
             planned_stop.plan(started, open_until, deadline)
@@ -314,7 +315,7 @@
             serve_seconds=SERVE_FRACTION * timeout,
         )
         await self.peers.node.announce_leaving()
-        await trio.sleep_until(open_until)
+        await trio.sleep_until(accepts_until)
         await self._stopper.drain_and_stop(deadline)
 
     def stop_immediately(self, cause: str) -> None:
--- a/packages/proxy/src/primrosemill/proxy/shutdown.py
+++ b/packages/proxy/src/primrosemill/proxy/shutdown.py
@@ -76,7 +76,6 @@
 
         ``deadline`` is a trio time; requests have their answers before it.
         """
-        self._application.begin_drain()
         with trio.move_on_at(deadline) as drain_scope:
             await self._caller_server.drain()
         if drain_scope.cancelled_caught:
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -7,6 +7,7 @@
 import trio
 
 from primrosemill.decisions import detachment
+from primrosemill.decisions import planned_stop
 from primrosemill.proxy import forwarding_tickets
 from primrosemill.proxy import headers
 from primrosemill.standins import users_instance
@@ -19,6 +20,7 @@
 BODY = random.Random(1).randbytes(200_000)
 LONG_BODY_SIZE = 900_000  # bytes; more than a VM keeps for another attempt
 WORK_TIME = 0.4  # seconds
+STOP_TIME = 1.5  # seconds
 
 
 async def wait_until_cut(built):
@@ -54,6 +56,16 @@
     ]
 
 
+async def stop_applications(vms, delay=0.0):
+    """Begin stops that end before the time limit of a request."""
+    await trio.sleep(delay)
+    now = trio.current_time()
+    for each in vms:
+        each.vm._application.begin_stop(
+            planned_stop.plan(now, now + STOP_TIME, now + STOP_TIME)
+        )
+
+
 def issue(issuer, request_id, service=builders.SERVICE):
     """Return a ticket for a read with an id."""
     request = forwarding_tickets.Request(
@@ -132,8 +144,11 @@
 
         async def check(fleet, all_cuts):
             helpers = fleet.vms[1:]
+            now = trio.current_time()
             for each in helpers:
-                each.vm._application.begin_drain()
+                each.vm._application.begin_stop(
+                    planned_stop.plan(now - 1.0, now, now)
+                )
             response = await builders.call(
                 fleet.vms[0],
                 builders.UPLOAD_PATH,
@@ -147,6 +162,20 @@
 
         self.run_cut(check, domains=(*DOMAINS, cuts.OTHER_DOMAIN))
 
+    def test_what_was_passed_on_is_let_end_as_both_vms_stop(self):
+        async def check(fleet, all_cuts):
+            for each in fleet.instances:
+                each.pause = WORK_TIME
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stop_applications, fleet.vms, 0.2)
+                response = await builders.call(
+                    fleet.vms[0], builders.ONCE_PATH, "passed", "POST"
+                )
+            self.assertEqual(200, response.status)
+            self.assertEqual(1, len(runs_of(fleet, "passed")))
+
+        self.run_cut(check)
+
     def test_vms_without_a_path_refuse_at_once_and_pass_on_once(self):
         """Guards against requests that go in a circle."""
 
--- a/tests/proxy/test_stop.py
+++ b/tests/proxy/test_stop.py
@@ -38,10 +38,12 @@
 
 
 class DaemonCase(testtools.TestCase):
-    def run_with(self, check, service_time=0.0):
-        trio.run(functools.partial(self._run, check, service_time))
+    def run_with(self, check, service_time=0.0, stop_seconds=60.0):
+        trio.run(
+            functools.partial(self._run, check, service_time, stop_seconds)
+        )
 
-    async def _run(self, check, service_time):
+    async def _run(self, check, service_time, stop_seconds):
         async with trio.open_nursery() as nursery:
             self.backend = WatchedInstance("res-0", 3, service_time)
             addresses = await builders.start_standins(nursery, [self.backend])
@@ -60,7 +62,7 @@
                     0,
                     0,
                     0,
-                ),
+                )._replace(stop_seconds=stop_seconds),
                 random.Random(1),
                 answer_lifetime=LIFETIME,
             )
@@ -102,6 +104,30 @@
         self.run_with(check, service_time=0.2)
         self.assertEqual(2, len(self.backend.runs))
 
+    def test_requests_that_wait_are_refused_before_the_vm_ends(self):
+        # Guards against connections that close without an answer.
+        answers = []
+
+        async def check(vm, nursery):
+            ports = await nursery.start(vm.run_until_signalled)
+
+            async def call(tag):
+                response = await self.get(ports.caller_port, "/slots", tag)
+                headers = dict(response.headers)
+                answers.append((response.status, headers[b"x-outcome"]))
+
+            async with trio.open_nursery() as call_nursery:
+                for number in range(6):
+                    call_nursery.start_soon(call, f"r{number}")
+                while vm._application.in_flight < 6:
+                    await trio.sleep(0.01)
+                await vm.stop("test")
+
+        self.run_with(check, service_time=1e9, stop_seconds=0.7)
+        refused = [(503, b"not-run")] * 3
+        self.assertEqual([*refused, *[(504, b"unknown")] * 3], sorted(answers))
+        self.assertEqual(3, len(self.backend.runs))
+
     def test_a_second_signal_stops_immediately(self):
         async def check(vm, nursery):
             async with trio.open_nursery() as vm_nursery:
