Tell the request id in each refusal of a forwarded request

Callers saw: 502 with an unknown outcome, while a VM passed their requests on to one that was stopping, though another one could have served them.

Cause: a refusal that came before the request was routed bore no request id. On a connection that was used before, the VM that had passed the request on takes such an answer for a late one of another request.

The id is told in whatever the VM answers to a request with a valid ticket.

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -236,6 +236,9 @@
             if isinstance(ticket, request_policies.Refused):
                 result = ticket
             else:
+                if ticket is not None and id_value is not None:
+                    # The other VM takes an answer without it for a late one.
+                    caller.echo = self._dialect.request_id, id_value
                 result = await self._handle_request(
                     scope, body, caller, watch, ticket, request
                 )
@@ -319,8 +322,6 @@
             outgoing.deadline, now, certain=ticket is not None
         ):
             return request_policies.STOPPING
-        if ticket is not None and outgoing.request_id is not None:
-            caller.echo = self._dialect.request_id, outgoing.request_id
         context = tracked_attempts.RequestContext(
             match.service,
             caller_id,
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -176,6 +176,21 @@
 
         self.run_cut(check)
 
+    def test_a_helper_that_stops_refuses_what_may_outlast_it(self):
+        # Guards against a request that a helper takes and breaks off, though
+        # another one could serve it.
+        async def check(fleet, all_cuts):
+            await builders.wait_until_met(fleet)
+            await stop_applications(fleet.vms[1:2])
+            for number in range(4):
+                response = await builders.call(
+                    fleet.vms[0], builders.ONCE_PATH, f"once-{number}", "POST"
+                )
+                self.assertEqual(200, response.status)
+                self.assertEqual(1, len(runs_of(fleet, f"once-{number}")))
+
+        self.run_cut(check, domains=(*DOMAINS, cuts.OTHER_DOMAIN))
+
     def test_vms_without_a_path_refuse_at_once_and_pass_on_once(self):
         """Guards against requests that go in a circle."""
 
