Keep answers with much to parse from starving other callers

Cause: httpcore reads 64 KB and handles all events in them before another task runs, and each chunk was written to the caller by itself. Evidence: interim answers, of which nothing is passed on, and chunks of 100 bytes, 600 to a reading. Ruled out: memory, and unread bytes (2 MB).

Change: one class of connections to instances, VMs and the store. It reads 4 KB first, has answers with many short lines wait for a turn, joins small chunks, and ends answers with more than eight interim ones or a head of 1,000 lines. Sockets of the store have bounded buffers.

The measurement counts unread bytes of all sockets of a VM, not of its callers' only.

--- a/packages/measure/src/primrosemill/measure/clients.py
+++ b/packages/measure/src/primrosemill/measure/clients.py
@@ -142,10 +142,7 @@
         self.process = process
         self.addresses_by_listener = addresses_by_listener
         self.instances: list[users_instance.InstanceStandin] = []
-        self._ports = {
-            int(address.rpartition(":")[2])
-            for address in addresses_by_listener.values()
-        }
+        self.platform: Platform | None = None
 
     def address(self, listener: str) -> str:
         """Return the address of a listener."""
@@ -164,17 +161,29 @@
         return 0
 
     def read_unread(self) -> int:
-        """Return the bytes that its callers' sockets hold unread."""
+        """Return the bytes that its sockets hold unread."""
         unread = 0
+        inodes = self._socket_inodes()
         lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
         for line in lines:
             fields = line.split()
             is_listening = fields[3] == "0A"
-            if is_listening or int(fields[1][9:], 16) not in self._ports:
+            if is_listening or fields[9] not in inodes:
                 continue
             unread += int(fields[4].partition(":")[2], 16)
         return unread
 
+    def _socket_inodes(self) -> set[str]:
+        """Return the inodes of the process's sockets."""
+        inodes = set()
+        folder = pathlib.Path("/proc") / str(self.process.pid) / "fd"
+        with contextlib.suppress(OSError):
+            for each in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    name = os.readlink(folder / each)
+                    inodes.add(name.removeprefix("socket:[").rstrip("]"))
+        return inodes
+
     async def get(self, listener: str, path: str) -> httpcore.Response:
         """Send a GET to a listener."""
         async with httpcore.AsyncConnectionPool() as pool:
@@ -194,12 +203,30 @@
         return addresses
 
 
-async def _start_platform(
-    nursery: trio.Nursery,
-) -> tuple[str, list[users_instance.InstanceStandin]]:
-    """Start a store and instances; return the store's address and these."""
+class Platform(typing.NamedTuple):
+    """The stand-ins around a VM; the scope ends the store's server."""
+
+    store: users_store.StoreStandin
+    store_address: str
+    store_scope: trio.CancelScope
+    instances: list[users_instance.InstanceStandin]
+
+
+async def _serve_store(
+    store: users_store.StoreStandin,
+    scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus[asgi.SocketAddress],
+) -> None:
+    with scope:
+        await asgi.serve(store, IP, task_status=task_status)
+
+
+async def _start_platform(nursery: trio.Nursery) -> Platform:
+    """Start a store and instances."""
     store = users_store.StoreStandin()
-    served = await nursery.start(asgi.serve, store, IP)
+    scope = trio.CancelScope()
+    served = await nursery.start(_serve_store, store, scope)
     instances = []
     for number in range(INSTANCE_COUNT):
         instance = users_instance.InstanceStandin(f"i-{number}", SERVICE_TIME)
@@ -212,12 +239,13 @@
     store.put_json(
         users_platform.CONFIGURATION_KEY, users_platform.configuration()
     )
-    return served.address, instances
+    return Platform(store, served.address, scope, instances)
 
 
 @contextlib.asynccontextmanager
 async def running_vm(
-    memory: int = MEMORY, descriptors: int = DESCRIPTORS
+    memory: int = MEMORY,
+    descriptors: int = DESCRIPTORS,
 ) -> typing.AsyncIterator[Vm]:
     """Run an entry VM's process with stand-ins until the end of the block."""
     listeners = ("callers", "ready", "directory", "peers", "admin")
@@ -225,7 +253,7 @@
         zip(listeners, _free_addresses(len(listeners)), strict=True)
     )
     async with trio.open_nursery() as nursery:
-        store_address, instances = await _start_platform(nursery)
+        platform = await _start_platform(nursery)
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "vm.ini"
             path.write_text(
@@ -234,7 +262,7 @@
                     memory=memory,
                     descriptors=descriptors,
                     link=LINK,
-                    store=store_address,
+                    store=platform.store_address,
                     **addresses,
                 )
             )
@@ -248,7 +276,8 @@
                 stderr=None,
             )
             vm = Vm(process, addresses)
-            vm.instances = instances
+            vm.instances = platform.instances
+            vm.platform = platform
             try:
                 await _wait_until_ready(vm)
                 yield vm
@@ -294,6 +323,26 @@
             collections.Counter()
         )
 
+    async def run(self, seconds: float, min_requests: int) -> Result:
+        """Watch the VM and call it; return what was seen.
+
+        On a busy machine this goes on until ``min_requests`` ordinary
+        requests have ended, for at most ``MAX_EXTENSION`` times as long.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.sample)
+            nursery.start_soon(self.check_health)
+            async with trio.open_nursery() as calls:
+                calls.start_soon(self.call_in_order)
+                for _ in range(MAX_EXTENSION):
+                    await trio.sleep(seconds)
+                    if self.requests >= min_requests:
+                        break
+                calls.cancel_scope.cancel()
+            result = self.summarize()
+            nursery.cancel_scope.cancel()
+        return result
+
     async def sample(self) -> None:
         """Sample memory until cancelled."""
         while True:
@@ -433,22 +482,12 @@
 ) -> Result:
     """Run crowds beside ordinary callers and return what the VM did.
 
-    On a busy machine it goes on until ``min_requests`` ordinary requests have
-    ended, for at most ``MAX_EXTENSION`` times as long.
+    See :meth:`Watch.run` for ``min_requests``.
     """
     watch = Watch(vm, random.Random(seed), time_left)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch.sample)
-        nursery.start_soon(watch.check_health)
         await nursery.start(_run_crowds, vm, crowds)
-        async with trio.open_nursery() as calls:
-            calls.start_soon(watch.call_in_order)
-            for _ in range(MAX_EXTENSION):
-                await trio.sleep(seconds)
-                if watch.requests >= min_requests:
-                    break
-            calls.cancel_scope.cancel()
-        result = watch.summarize()
+        result = await watch.run(seconds, min_requests)
         nursery.cancel_scope.cancel()
     return result
 
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -85,10 +85,10 @@
         self._guard = guard or request_guard.RequestGuard(
             count=self._counters.crash_evidence.count
         )
-        self.connections = connections.Connections()
         self._current_routes: tuple[documents.Route, ...] = ()
         self._splitter = splits.Splitter(generator)
         self._account = account or memory.account.Account()
+        self.connections = connections.Connections(self._account.answers)
         self._dialect = dialect
         self.access = access.Access(dialect)
         self.caps: request_policies.CustomerCaps = request_policies.NoCaps()
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -20,6 +20,7 @@
 from primrosemill.proxy import headers
 from primrosemill.proxy import instance_stream
 from primrosemill.proxy import replay_body
+from primrosemill.published import bounded_connection
 
 # Far above a round trip and far below the time of a request, so that enough
 # time is left for another instance.
@@ -139,7 +140,7 @@
             await self._response.aclose()
             self._complete = True
             return None
-        except instance_stream.OverlongAnswerError:
+        except bounded_connection.OverlongAnswerError:
             return outcomes.Unknown(outcomes.UnknownReason.OVERLONG)
         except (httpcore.ProtocolError, httpcore.NetworkError):
             return outcomes.Unknown(outcomes.UnknownReason.TRUNCATED)
@@ -297,7 +298,7 @@
     ) -> outcomes.NotRun | outcomes.Unknown:
         if not self._connection.stream.has_written:
             return outcomes.NotRun(outcomes.NotRunReason.CLOSED_UNSENT)
-        if isinstance(error, instance_stream.OverlongAnswerError):
+        if isinstance(error, bounded_connection.OverlongAnswerError):
             return outcomes.Unknown(outcomes.UnknownReason.OVERLONG)
         # httpcore sets a cause only if h11 could not parse received bytes.
         if isinstance(error, httpcore.ProtocolError) and error.__cause__:
--- a/packages/proxy/src/primrosemill/proxy/connections.py
+++ b/packages/proxy/src/primrosemill/proxy/connections.py
@@ -7,6 +7,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.proxy import instance_stream
+from primrosemill.published import bounded_connection
 
 IDLE_LIFETIME = 30.0  # seconds
 # Instances close connections that were idle for long. One that was used this
@@ -36,16 +37,19 @@
         return
 
 
-class HttpConnection(httpcore.AsyncHTTP11Connection):
+class HttpConnection(bounded_connection.BoundedConnection):
     """An HTTP connection that is used by a single task at a time.
 
     It omits httpcore's lock, which costs two scheduler passes per request.
     """
 
     def __init__(
-        self, origin: httpcore.Origin, stream: instance_stream.InstanceStream
+        self,
+        origin: httpcore.Origin,
+        stream: instance_stream.InstanceStream,
+        turns: bounded_connection.Turns | None = None,
     ) -> None:
-        super().__init__(origin, stream)
+        super().__init__(origin, stream, turns=turns)
         self._state_lock = _NoLock()
 
     def is_reusable(self) -> bool:
@@ -74,9 +78,13 @@
 
 
 class Connections:
-    """The pool of this VM's idle connections to all instances."""
+    """The pool of this VM's idle connections to all instances.
+
+    All connections share the turns at answers with much to parse.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, turns: bounded_connection.Turns | None = None) -> None:
+        self._turns = turns
         self._idle_by_address: dict[Address, list[IdleConnection]] = {}
 
     def take_idle(
@@ -119,7 +127,7 @@
         """Open a connection; raises OSError."""
         stream = await instance_stream.connect(instance)
         origin = httpcore.Origin(b"http", instance.ip.encode(), instance.port)
-        return Connection(HttpConnection(origin, stream), stream)
+        return Connection(HttpConnection(origin, stream, self._turns), stream)
 
     def put_new(
         self, instance: documents.Instance, connection: Connection
--- a/packages/proxy/src/primrosemill/proxy/instance_stream.py
+++ b/packages/proxy/src/primrosemill/proxy/instance_stream.py
@@ -15,6 +15,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.proxy import memory
 from primrosemill.proxy import sockets
+from primrosemill.published import bounded_connection
 
 NO_DEADLINE = float("inf")
 
@@ -29,10 +30,6 @@
 MAX_REFUSED_IDS = 64  # remembered of one connection
 
 
-class OverlongAnswerError(httpcore.RemoteProtocolError):
-    """An instance sent more bytes than an answer may have."""
-
-
 class DeadlinePassedError(Exception):
     """The deadline passed before the first byte was written."""
 
@@ -131,7 +128,9 @@
         :meth:`set_body_limit`.
         """
         if self._read_allowance <= 0:
-            raise OverlongAnswerError("answer exceeds its size limit")
+            raise bounded_connection.OverlongAnswerError(
+                "answer exceeds its size limit"
+            )
         try:
             data = await self._socket.receive(max_bytes)
         except OSError as error:
--- a/packages/proxy/src/primrosemill/proxy/memory/account.py
+++ b/packages/proxy/src/primrosemill/proxy/memory/account.py
@@ -46,6 +46,7 @@
 CHUNK_SPACING = 4.0
 PIPELINE_SPACING = 6.0
 REPORT_SPACING = 5.0
+ANSWER_SPACING = 4.0
 
 
 class Kind(enum.StrEnum):
@@ -154,6 +155,7 @@
         self.heavy_chunks = heavy_work.HeavyWork(CHUNK_SPACING)
         self.reports = heavy_work.HeavyWork(REPORT_SPACING)
         self.pipelines = heavy_work.HeavyWork(PIPELINE_SPACING)
+        self.answers = heavy_work.HeavyWork(ANSWER_SPACING)
         self.large_uploads = large_transfers.Places(LARGE_UPLOADS)
         self.discards = large_transfers.Places(DISCARDS)
         self.large_answers = large_transfers.LargeAnswers(link)
--- a/packages/published/src/primrosemill/published/bounded_client.py
+++ b/packages/published/src/primrosemill/published/bounded_client.py
@@ -1,6 +1,7 @@
 """Provides an HTTP client with limits on the time and size of answers."""
 
 import contextlib
+import socket
 import typing
 
 import expression
@@ -8,8 +9,12 @@
 import trio
 
 from primrosemill.fleet import interfaces
+from primrosemill.published import bounded_connection
 
 MAX_CONNECTIONS = 4
+# What the kernel holds unread of an answer; else some megabytes each.
+RECEIVE_BUFFER = 262_144  # bytes
+SOCKET_OPTIONS = ((socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER),)
 
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
@@ -32,8 +37,8 @@
     def __init__(self, address: str, size_limit: int) -> None:
         self._size_limit = size_limit
         self._base = f"http://{address}"
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS
+        self._pool = bounded_connection.BoundedPool(
+            max_connections=MAX_CONNECTIONS, socket_options=SOCKET_OPTIONS
         )
 
     async def aclose(self) -> None:
--- a/packages/standins/src/primrosemill/standins/raw_tcp.py
+++ b/packages/standins/src/primrosemill/standins/raw_tcp.py
@@ -7,15 +7,17 @@
 REQUEST_SIZE = 65_536  # bytes
 
 
-class _TcpStandin:
+class TcpStandin:
     """Base of servers that handle TCP connections without HTTP."""
 
-    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
         raise NotImplementedError
 
     async def serve(
         self,
         ip: str,
+        port: int = 0,
         *,
         task_status: trio.TaskStatus[
             asgi.SocketAddress
@@ -23,11 +25,11 @@
     ) -> None:
         """Serve until cancelled; report the address once it listens."""
         await asgi.serve_streams(
-            self._serve_stream, ip, task_status=task_status
+            self.serve_stream, ip, port, task_status=task_status
         )
 
 
-class RawStandin(_TcpStandin):
+class RawStandin(TcpStandin):
     """Server that reads a request, sends fixed bytes and closes.
 
     ``pause`` is the time in seconds between two bytes. A server that lingers
@@ -43,7 +45,8 @@
         self.lingers = lingers
         self.connections = 0
 
-    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
         self.connections += 1
         try:
             await stream.receive_some(REQUEST_SIZE)
@@ -62,7 +65,21 @@
             await trio.sleep(self.pause)
 
 
-class EndlessStandin(_TcpStandin):
+class KeptStandin(TcpStandin):
+    """Server that sends the same bytes for each request of a connection."""
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self.connections = 0
+
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        while await stream.receive_some(REQUEST_SIZE):
+            await stream.send_all(self._answer)
+
+
+class EndlessStandin(TcpStandin):
     """Server that reads a request and sends bytes until the client closes.
 
     It sends ``start`` once, then ``block`` repeatedly. ``sent`` counts the
@@ -75,7 +92,8 @@
         self.sent = 0
         self.closed = trio.Event()
 
-    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
         try:
             await stream.receive_some(REQUEST_SIZE)
             await stream.send_all(self.start)
--- a/tests/builders/stops.py
+++ b/tests/builders/stops.py
@@ -10,7 +10,7 @@
 import trio
 
 from primrosemill.configuration import checks
-from primrosemill.standins import asgi
+from primrosemill.standins import raw_tcp
 from primrosemill.standins import users_instance
 from tests.builders import pipelines
 from tests.builders import users_platform as builders
@@ -94,26 +94,14 @@
     )
 
 
-class StreamingStandin:
+class StreamingStandin(raw_tcp.TcpStandin):
     """Instance whose answer takes ``seconds``, the same for all requests."""
 
     def __init__(self, seconds: float) -> None:
         self._seconds = seconds
         self.ids_run: list[str] = []
 
-    async def serve(
-        self,
-        ip: str,
-        *,
-        task_status: trio.TaskStatus[
-            asgi.SocketAddress
-        ] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        await asgi.serve_streams(
-            self._serve_stream, ip, task_status=task_status
-        )
-
-    async def _serve_stream(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
         connection = h11.Connection(h11.SERVER)
         try:
             while (event := connection.next_event()) is h11.NEED_DATA:
