Bound the answers to health probes

Reported by operators of similar systems: a machine kept the endless answer of a faulty instance and ran out of memory. Here 12 probes of primrosemill proxy held 252 MB within their 2 s.

Cause: a probe read the whole body; only its time was limited. Evidence: bodies with and without a length held 252 and 247 MB, chunks 5, heads, chunk sizes and trailers under 4. Ruled out: the library's own buffers, which end at 100 KB, and the entry VM, whose process stays at 71 of 152 MB with 17 shapes.

A probe reads 64 KB at most, with the client that reads the store; a longer answer is unhealthy. test_bounded_connection failed before for body, long_body, chunks and tiny_chunks.

--- a/packages/proxy/src/primrosemill/proxy/probes.py
+++ b/packages/proxy/src/primrosemill/proxy/probes.py
@@ -1,15 +1,15 @@
 """Probes the health endpoint of an instance for drain signs and failures."""
 
+import contextlib
 import typing
 
-import httpcore
-import trio
-
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import headers
+from primrosemill.published import bounded_client
 
 TIMEOUT = 2.0  # seconds
+MAX_ANSWER_SIZE = 65_536  # bytes
 
 
 class Result(typing.NamedTuple):
@@ -24,16 +24,13 @@
 
 async def probe(instance: documents.Instance, path: str) -> Result:
     """Probe an instance on a separate connection."""
-    url = f"http://{instance.ip}:{instance.port}{path}"
-    with trio.move_on_after(TIMEOUT):
-        try:
-            async with httpcore.AsyncConnectionPool(
-                max_keepalive_connections=0
-            ) as pool:
-                response = await pool.request("GET", url)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return Result(False, False)
-        state = headers.find(response.headers, headers.INSTANCE_STATE)
-        healthy = response.status < outcomes.FIRST_SERVER_ERROR
-        return Result(healthy, state == headers.DRAINING)
-    return Result(False, False)
+    address = f"{instance.ip}:{instance.port}"
+    client = bounded_client.Client(address, MAX_ANSWER_SIZE)
+    async with contextlib.aclosing(client):
+        result = await client.get(path, TIMEOUT)
+    if result.is_error():
+        return Result(False, False)
+    answer = result.ok
+    state = headers.find(answer.headers, headers.INSTANCE_STATE)
+    healthy = answer.status < outcomes.FIRST_SERVER_ERROR
+    return Result(healthy, state == headers.DRAINING)
--- a/tests/published/test_bounded_connection.py
+++ b/tests/published/test_bounded_connection.py
@@ -1,14 +1,21 @@
 """Tests the bounds on what a faulty server costs its client."""
 
+import functools
+import tracemalloc
+
 import httpcore
 import testtools
 import trio
 
+from primrosemill.configuration import document as documents
+from primrosemill.proxy import probes
 from primrosemill.published import bounded_connection
+from primrosemill.standins import endless_instances
 from primrosemill.standins import raw_tcp
 
 IP = "127.0.0.1"
 MAX_TIME = 10.0  # seconds
+MAX_MEMORY = 4_000_000  # bytes
 OVERLONG = bounded_connection.OverlongAnswerError
 WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -91,3 +98,34 @@
         standin = raw_tcp.KeptStandin(answer)
         run(check, standin)
         self.assertEqual(1, standin.connections)
+
+
+class ProbeTest(testtools.TestCase):
+    """Guards against probes that keep an endless health answer."""
+
+    def check(self, shape):
+        async def check(served):
+            instance = documents.Instance("i-0", served.ip, served.port, "d")
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            async with trio.open_nursery() as nursery:
+                for _ in range(12):
+                    nursery.start_soon(self.probe, instance)
+            self.assertLess(tracemalloc.get_traced_memory()[1], MAX_MEMORY)
+
+        run(check, endless_instances.EndlessInstance(shape))
+
+    async def probe(self, instance):
+        result = await probes.probe(instance, "/health")
+        self.assertEqual(probes.Result(False, False), result)
+
+
+for each in endless_instances.Shape:
+    if each is endless_instances.Shape.AFTER_AN_ANSWER:
+        # This one is healthy; what follows is not read.
+        continue
+    setattr(
+        ProbeTest,
+        f"test_{each}",
+        functools.partialmethod(ProbeTest.check, each),
+    )
