Keep SIGHUP from ending an entry VM that is starting

Cause: the handler was installed after the imports and the start of the loop, half a second later; until then the default action held. Evidence: the process ends by signal 1, and goes on if the file changes without the signal. Ruled out: a file that is read while it is written.

Change: the signal is ignored before anything is imported; commands that don't follow their settings get their former action back. The state of the file is noted before it is first read, so that a change until the VM follows it is found.

--- a/packages/cli/src/primrosemill/cli/__main__.py
+++ b/packages/cli/src/primrosemill/cli/__main__.py
@@ -1,6 +1,6 @@
 """Runs the command line as ``python -m primrosemill.cli``."""
 
-from primrosemill.cli import main
+from primrosemill.cli import startup
 
 if __name__ == "__main__":
-    main.main(prog_name="primrosemill")
+    startup.run()
--- a/packages/cli/src/primrosemill/cli/entry.py
+++ b/packages/cli/src/primrosemill/cli/entry.py
@@ -34,23 +34,26 @@
     or SIGINT stops it gracefully, a second one at once; SIGHUP reads the
     settings again.
     """
+    stamp = settings_reloading.read_stamp(path)
     result = entry_settings.read(path)
     if result.is_error():
         exits.fail(
             exits.Status.BAD_INPUT, map(settings_faults.describe, result.error)
         )
     eliot.add_destinations(output.BoundedOutput(sys.stdout.fileno()))
-    trio.run(_run, path, result.ok)
+    trio.run(_run, path, stamp, result.ok)
 
 
 async def _run(
-    path: pathlib.Path, settings: entry_settings.EntrySettings
+    path: pathlib.Path,
+    stamp: settings_reloading.Stamp | None,
+    settings: entry_settings.EntrySettings,
 ) -> None:
     vm = entry_vm.EntryVm(
         settings, adapter.make_adapter(settings.feed_address), random.Random()
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(shutdown.stop_on_signals, vm)
-        nursery.start_soon(settings_reloading.follow, path, vm.reload)
+        nursery.start_soon(settings_reloading.follow, path, stamp, vm.reload)
         await vm.run()
         nursery.cancel_scope.cancel()
--- a/packages/cli/src/primrosemill/cli/main.py
+++ b/packages/cli/src/primrosemill/cli/main.py
@@ -10,6 +10,7 @@
 import click
 
 from primrosemill.cli import exits
+from primrosemill.cli import startup
 
 MODULES_BY_COMMAND = {
     "proxy": "primrosemill.cli.proxy",
@@ -22,6 +23,8 @@
     "losses": "primrosemill.cli.losses",
     "version": "primrosemill.cli.version",
 }
+# They read their settings again on SIGHUP.
+COMMANDS_FOLLOWING_SETTINGS = ("entry",)
 
 
 class _LazyGroup(click.Group):
@@ -42,5 +45,8 @@
 
 
 @click.group(cls=_LazyGroup, epilog=exits.HELP)
-def main() -> None:
+@click.pass_context
+def main(context: click.Context) -> None:
     """Run and inspect a primrosemill proxy fleet."""
+    if context.invoked_subcommand not in COMMANDS_FOLLOWING_SETTINGS:
+        startup.hangups.restore()
--- a/packages/proxy/src/primrosemill/proxy/settings_reloading.py
+++ b/packages/proxy/src/primrosemill/proxy/settings_reloading.py
@@ -14,14 +14,28 @@
 CHECK_INTERVAL = 1.0  # seconds between checks of the file
 CHANGED = "changed"
 
+
+class Stamp(typing.NamedTuple):
+    """When a file was last modified, in nanoseconds, and its size in bytes."""
+
+    modified: int
+    size: int
+
+
 OnReload = typing.Callable[[entry_settings.EntrySettings, str], None]
 
 
-async def follow(path: pathlib.Path, on_reload: OnReload) -> None:
-    """Reload until cancelled; a file with faults is ignored and logged."""
+async def follow(
+    path: pathlib.Path, stamp: Stamp | None, on_reload: OnReload
+) -> None:
+    """Reload until cancelled; a file with faults is ignored and logged.
+
+    ``stamp`` is that of the file before it was read for the first time, so
+    that no change since then is missed.
+    """
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_follow_signal, path, on_reload)
-        nursery.start_soon(_follow_file, path, on_reload)
+        nursery.start_soon(_follow_file, path, stamp, on_reload)
 
 
 async def _follow_signal(path: pathlib.Path, on_reload: OnReload) -> None:
@@ -30,23 +44,24 @@
             _reload(path, on_reload, signal.Signals(number).name)
 
 
-async def _follow_file(path: pathlib.Path, on_reload: OnReload) -> None:
-    last_stamp = _read_stamp(path)
+async def _follow_file(
+    path: pathlib.Path, last_stamp: Stamp | None, on_reload: OnReload
+) -> None:
     while True:
         await trio.sleep(CHECK_INTERVAL)
-        stamp = _read_stamp(path)
+        stamp = read_stamp(path)
         if stamp != last_stamp:
             last_stamp = stamp
             _reload(path, on_reload, CHANGED)
 
 
-def _read_stamp(path: pathlib.Path) -> tuple[int, int] | None:
+def read_stamp(path: pathlib.Path) -> Stamp | None:
     """Return the file's time and size, or None if it can't be read."""
     try:
         file_stat = os.stat(path)
     except OSError:
         return None
-    return file_stat.st_mtime_ns, file_stat.st_size
+    return Stamp(file_stat.st_mtime_ns, file_stat.st_size)
 
 
 def _reload(path: pathlib.Path, on_reload: OnReload, cause: str) -> None:
--- a/tests/proxy/test_entry_settings.py
+++ b/tests/proxy/test_entry_settings.py
@@ -44,15 +44,22 @@
 
 
 class ReloadingTest(testtools.TestCase):
-    def follow(self, trigger_reload):
-        """Return the peers and causes of the reloads after a trigger."""
+    def follow(self, trigger_reload, change_before=lambda path: None):
+        """Return the peers and causes of the reloads after a trigger.
+
+        ``change_before`` is called after the file was read for the first
+        time and before it is followed.
+        """
         reloaded = []
 
         async def main(path):
+            stamp = settings_reloading.read_stamp(path)
+            change_before(path)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     settings_reloading.follow,
                     path,
+                    stamp,
                     lambda settings, cause: reloaded.append(
                         (settings.first_peers, cause)
                     ),
@@ -75,6 +82,15 @@
         )
         self.assertEqual([(peers, settings_reloading.CHANGED)], reloads)
 
+    def test_change_while_the_vm_starts_is_not_missed(self):
+        # The signal of such a change is ignored while the VM starts.
+        peers = ("127.0.0.9:8146",)
+        reloads = self.follow(
+            lambda path: None,
+            lambda path: path.write_text(builders.text(*peers)),
+        )
+        self.assertEqual([(peers, settings_reloading.CHANGED)], reloads)
+
     def test_signal_reloads_the_file(self):
         reloads = self.follow(lambda path: os.kill(os.getpid(), signal.SIGHUP))
         self.assertEqual([((), "SIGHUP")], reloads)
