Take connections that end out of the line for parsing

Cause: a connection waited for its turn to be parsed also after its request was answered or the account had given it up, with its buffers, while its client opened the next one; bytes that are being parsed were not counted. Evidence: 6 s after 120 such requests had ended and their clients left, all 120 connections were there. Ruled out: that the account doesn't choose them; it did, and nothing was freed.

Change: an answer, a reset and a failed write end the wait, and the rest is dropped. Bytes that are being parsed are charged (kind "parsing").

--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -67,6 +67,10 @@
 OnFailure = typing.Callable[[Exception], None]
 
 
+class ParsingEndedError(Exception):
+    """The bytes of a connection that is closing are not parsed any more."""
+
+
 class CallerConnection:
     """One connection of a caller and its pipelined requests."""
 
@@ -92,12 +96,12 @@
         )
         self._max_requests = max_requests
         self._account = account
-        self.heavy_chunks = account.heavy_chunks
         self.discards = account.discards
         self._unparsed = bytearray()
         self._head_lines = 0
         self._small_pieces = 0
         self._parsing = False
+        self._turn_scope = trio.CancelScope()
         self._closing = False
         self._finished = False
         self._space_freed = trio.lowlevel.ParkingLot()
@@ -135,7 +139,10 @@
                     await trio.sleep(LINGER_PAUSE)
                     continue
                 self._unparsed += data
-                await self._parse_requests()
+                try:
+                    await self._parse_requests()
+                except ParsingEndedError:
+                    continue
                 self._track_partial_head()
                 self._count_small_pieces(len(data))
                 if self._unparsed:
@@ -222,11 +229,26 @@
             del self._unparsed[:HEAD_PIECE]
             if not await self._wait_for_heavy_head(request, data):
                 return False
-        await request.protocol.handle(hypercorn.events.RawData(data))
+        self._holding.charge(memory.account.Kind.PARSING, len(data))
+        try:
+            await request.protocol.handle(hypercorn.events.RawData(data))
+        finally:
+            self._holding.release(memory.account.Kind.PARSING, len(data))
         if request.protocol.complete:
             self._unparsed[:0] = request.protocol.trailing_bytes()
         return not self._finished
 
+    async def wait_for_chunk_turn(self, work: float) -> None:
+        """Wait until chunks that take ``work`` seconds may be parsed.
+
+        Raises ParsingEndedError if they are not read any more.
+        """
+        with trio.CancelScope() as self._turn_scope:
+            if not self._finished and not self._socket.closed:
+                await self._account.heavy_chunks.wait_for_turn(work)
+                return
+        raise ParsingEndedError
+
     async def _wait_for_heavy_head(
         self, request: pipelining.PipelinedRequest, data: bytes
     ) -> bool:
@@ -322,6 +344,8 @@
             await self._account.pipelines.wait_for_turn(PIPELINED_TIME)
             await self._parse_requests()
             self._track_partial_head()
+        except ParsingEndedError:
+            pass
         except Exception as error:
             self._handle_failure(error)
         self._holding.set(memory.account.Kind.READ_AHEAD, len(self._unparsed))
@@ -334,6 +358,7 @@
         self._finished = True
         self._finished_at = trio.current_time()
         self._unparsed.clear()
+        self._turn_scope.cancel()
         self._space_freed.unpark_all()
         self._socket.shutdown_write()
         self._nursery.start_soon(self._linger)
@@ -402,6 +427,7 @@
     def reset(self) -> None:
         """Reset, so that the caller can't mistake the answer for complete."""
         self._socket.reset()
+        self._turn_scope.cancel()
         self._space_freed.unpark_all()
 
     def close_if_idle(self, oldest: float) -> None:
@@ -443,6 +469,7 @@
             for request in tuple(self._requests):
                 request.mark_disconnected()
             self._socket.close()
+            self._turn_scope.cancel()
             self._space_freed.unpark_all()
         finally:
             self._write_since = None
--- a/packages/proxy/src/primrosemill/proxy/http1.py
+++ b/packages/proxy/src/primrosemill/proxy/http1.py
@@ -76,7 +76,7 @@
             await self._forward_body(chunks)
             if self._is_chunked and self._free_size < 0:
                 self._free_size += BULK_SIZE
-                await self.task_group.heavy_chunks.wait_for_turn(BULK_TIME)
+                await self.task_group.wait_for_chunk_turn(BULK_TIME)
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.ConnectionClosed):
@@ -97,7 +97,7 @@
             return
         self._small_chunks += CHUNKS_AT_ONCE
         if self._small_chunks > FREE_CHUNKS:
-            await self.task_group.heavy_chunks.wait_for_turn(worked)
+            await self.task_group.wait_for_chunk_turn(worked)
 
     async def _forward_body(self, chunks: list[bytes]) -> None:
         """Forward chunks of the body as one, and forget them."""
--- a/packages/proxy/src/primrosemill/proxy/memory/account.py
+++ b/packages/proxy/src/primrosemill/proxy/memory/account.py
@@ -56,6 +56,7 @@
     HEAD = "head"
     BODY = "body"
     READ_AHEAD = "read_ahead"
+    PARSING = "parsing"
     ANSWER = "answer"
 
 
--- a/packages/proxy/src/primrosemill/proxy/pipelining.py
+++ b/packages/proxy/src/primrosemill/proxy/pipelining.py
@@ -26,9 +26,15 @@
 class Pipeline(typing.Protocol):
     """The connection that carries pipelined requests."""
 
-    heavy_chunks: memory.heavy_work.HeavyWork
     discards: memory.large_transfers.Places
 
+    async def wait_for_chunk_turn(self, work: float) -> None:
+        """Wait until chunks that take ``work`` seconds may be parsed.
+
+        Raises ParsingEndedError if they are not read any more.
+        """
+        ...
+
     async def write(self, data: bytes) -> None:
         """Send bytes, or drop them if the caller has disconnected."""
         ...
