Take ports of measured VMs from below those of outgoing connections

The ports were free when they were chosen, but in the range that outgoing connections get, of which these tests open many.

--- a/packages/measure/src/primrosemill/measure/clients.py
+++ b/packages/measure/src/primrosemill/measure/clients.py
@@ -50,6 +50,9 @@
 SERVED = "200"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 START_TIMEOUT = 60.0  # seconds
+# Ports of a VM; tests claim those below.
+MIN_PORT = 20_000
+MAX_PORT = 32_000
 MAX_EXTENSION = 6
 # A task of this process that runs later than this shows that the machine has
 # no processor time left. What fails meanwhile says nothing about the VM.
@@ -193,14 +196,26 @@
 
 
 def _free_addresses(count: int) -> list[str]:
-    """Return addresses with ports that are free for now."""
+    """Return addresses with ports that are free for now.
+
+    They are below those that outgoing connections get, of which crowds open
+    many until the VM listens.
+    """
+    addresses = []
     with contextlib.ExitStack() as stack:
-        addresses = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind((IP, 0))
-            addresses.append(f"{IP}:{sock.getsockname()[1]}")
-        return addresses
+        while len(addresses) < count:
+            port = random.randrange(MIN_PORT, MAX_PORT)
+            stream = stack.enter_context(socket.socket())
+            datagrams = stack.enter_context(
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            )
+            try:
+                stream.bind((IP, port))
+                datagrams.bind((IP, port))
+            except OSError:
+                continue
+            addresses.append(f"{IP}:{port}")
+    return addresses
 
 
 class Platform(typing.NamedTuple):
