Count bytes of a body only while they wait to be parsed

Bytes that were handed to the parser counted as parsing until it was done with them, also while their upload waited for its reader, which counts them as body. They count while they wait for a turn, which is what was not counted. Wording of the bounds of a planned stop.

--- a/packages/decisions/src/primrosemill/decisions/planned_stop.py
+++ b/packages/decisions/src/primrosemill/decisions/planned_stop.py
@@ -7,9 +7,9 @@
 import math
 import typing
 
-# Requests that arrive so long after the signal may still be passed on though
-# their time limit ends after the VM. Later ones count as cut off by the users'
-# platform, from 3 s after its signal on, which may be handled late.
+# Longest time after the signal in which requests are passed on that may outlast
+# the VM. The users' platform counts those that are cut off as lost if they were
+# sent later than 3 s after its signal, and the VM may handle the signal late.
 MAX_OPEN_TIME = 2.75  # seconds
 # The VM's own answers begin so long before connections are cut off, but in a
 # short stop only a part of its time.
@@ -70,7 +70,7 @@
     def admits(self, deadline: float, now: float, certain: bool) -> bool:
         """Return whether a request that arrives now may be worked on.
 
-        ``certain`` asks for one that ends in time whatever its instance does.
+        With ``certain`` it must end in time whatever its instance does.
         """
         if not self.shortens(deadline):
             return True
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -101,6 +101,7 @@
         self._head_lines = 0
         self._small_pieces = 0
         self._parsing = False
+        self._parsed_size = 0
         self._turn_scope = trio.CancelScope()
         self._closing = False
         self._finished = False
@@ -229,11 +230,8 @@
             del self._unparsed[:HEAD_PIECE]
             if not await self._wait_for_heavy_head(request, data):
                 return False
-        self._holding.charge(memory.account.Kind.PARSING, len(data))
-        try:
-            await request.protocol.handle(hypercorn.events.RawData(data))
-        finally:
-            self._holding.release(memory.account.Kind.PARSING, len(data))
+        self._parsed_size = len(data)
+        await request.protocol.handle(hypercorn.events.RawData(data))
         if request.protocol.complete:
             self._unparsed[:0] = request.protocol.trailing_bytes()
         return not self._finished
@@ -243,10 +241,15 @@
 
         Raises ParsingEndedError if they are not read any more.
         """
-        with trio.CancelScope() as self._turn_scope:
-            if not self._finished and not self._socket.closed:
-                await self._account.heavy_chunks.wait_for_turn(work)
-                return
+        size = self._parsed_size
+        self._holding.charge(memory.account.Kind.PARSING, size)
+        try:
+            with trio.CancelScope() as self._turn_scope:
+                if not self._finished and not self._socket.closed:
+                    await self._account.heavy_chunks.wait_for_turn(work)
+                    return
+        finally:
+            self._holding.release(memory.account.Kind.PARSING, size)
         raise ParsingEndedError
 
     async def _wait_for_heavy_head(
