--- a/packages/decisions/src/primrosemill/decisions/planned_stop.py
+++ b/packages/decisions/src/primrosemill/decisions/planned_stop.py
@@ -7,9 +7,9 @@
 import math
 import typing
 
-# Longest time after the signal in which requests are passed on that may outlast
-# the VM. The users' platform counts those that are cut off as lost if they were
-# sent later than 3 s after its signal, and the VM may handle the signal late.
+# Longest time after the signal in which requests are passed on that may
+# outlast the VM. The users' platform counts those that are cut off as lost if
+# they were sent later than 3 s after its signal, which may be handled late.
 MAX_OPEN_TIME = 2.75  # seconds
 # The VM's own answers begin so long before connections are cut off, but in a
 # short stop only a part of its time.
