Plan the times of a planned stop in one place

The parts of the time to stop were in both programs, and what is admitted in the pure rules, so the promise could only be tested with a VM and a few times. No time changes.

--- a/packages/decisions/src/primrosemill/decisions/planned_stop.py
+++ b/packages/decisions/src/primrosemill/decisions/planned_stop.py
@@ -7,6 +7,11 @@
 import math
 import typing
 
+# Fraction of the time to stop in which connections are still accepted, because
+# callers may hold older directions, and the one reserved for the process to
+# exit.
+ACCEPT_FRACTION = 0.5
+EXIT_FRACTION = 0.08
 # Longest time after the signal in which requests are passed on that may
 # outlast the VM. The users' platform counts those that are cut off as lost if
 # they were sent later than 3 s after its signal, which may be handled late.
@@ -22,21 +27,50 @@
 
     Until ``open_until`` a request is passed on if its answer is expected by
     ``answers_by``, when the requests that are left get an answer of the VM.
-    At ``cuts_off_at`` connections are cut off.
+    No connection is accepted from ``accepts_until`` on, and at ``cuts_off_at``
+    all are cut off.
     """
 
     open_until: float
+    accepts_until: float
     answers_by: float
     cuts_off_at: float
 
 
-NO_STOP = Times(math.inf, math.inf, math.inf)
+NO_STOP = Times(math.inf, math.inf, math.inf, math.inf)
 
 
-def plan(began: float, open_until: float, cuts_off_at: float) -> Times:
-    """Return the times of a stop that began with a signal at ``began``."""
+def plan_within(began: float, stop_time: float) -> Times:
+    """Return the times of a stop whose process is killed after a time.
+
+    ``began`` is the time of the signal, ``stop_time`` is in seconds.
+    """
+    accept_time = ACCEPT_FRACTION * stop_time
+    return _plan(
+        began,
+        began + min(accept_time, MAX_OPEN_TIME),
+        began + accept_time,
+        began + (1.0 - EXIT_FRACTION) * stop_time,
+    )
+
+
+def plan_after(began: float, lifetime: float, stop_time: float) -> Times:
+    """Return the times of a stop that serves callers for a lifetime first.
+
+    ``lifetime`` is how long callers may use the VM's address after the signal
+    at ``began``, ``stop_time`` what requests have after that, both in seconds.
+    """
+    open_until = began + lifetime
+    return _plan(began, open_until, open_until, open_until + stop_time)
+
+
+def _plan(
+    began: float, open_until: float, accepts_until: float, cuts_off_at: float
+) -> Times:
     answer_time = min(MAX_ANSWER_TIME, ANSWER_SHARE * (cuts_off_at - began))
-    return Times(open_until, cuts_off_at - answer_time, cuts_off_at)
+    return Times(
+        open_until, accepts_until, cuts_off_at - answer_time, cuts_off_at
+    )
 
 
 class PlannedStop:
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -175,12 +175,11 @@
         an answer that is still passed on then is cut off.
         """
         started = trio.current_time()
-        open_until = started + self._answer_lifetime
-        deadline = open_until + self._settings.stop_seconds
-        self._directory.set_leaving()
-        self._application.begin_stop(
-            planned_stop.plan(started, open_until, deadline)
+        times = planned_stop.plan_after(
+            started, self._answer_lifetime, self._settings.stop_seconds
         )
+        self._directory.set_leaving()
+        self._application.begin_stop(times)
         events.emit(
             events.VM_LEAVING,
             vm_id=self._settings.vm_id,
@@ -188,9 +187,9 @@
             serve_seconds=self._answer_lifetime,
         )
         await self.peers.node.announce_leaving()
-        await trio.sleep_until(open_until)
+        await trio.sleep_until(times.accepts_until)
         self._application.closing = True
-        await self._stopper.drain_and_stop(deadline)
+        await self._stopper.drain_and_stop(times.cuts_off_at)
 
     def stop_immediately(self, cause: str) -> None:
         """End run() now and cut off the requests in flight."""
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -62,11 +62,6 @@
 from primrosemill.proxy.customers import freshness_exchange
 
 VIEW_CHECK_INTERVAL = 0.25  # seconds between checks for changed members
-# Fraction of the stop timeout during which connections are still accepted,
-# because callers may hold older directions; then idle ones are closed.
-SERVE_FRACTION = 0.5
-# Fraction of the stop timeout that is reserved for the process to exit.
-EXIT_FRACTION = 0.08
 MILLISECONDS_PER_SECOND = 1_000.0
 STATES_ACCEPTING_CALLERS = (members.State.LIVE, members.State.SUSPECT)
 
@@ -298,25 +293,20 @@
         passed on then is cut off.
         """
         started = trio.current_time()
-        timeout = self._settings.stop_seconds
+        times = planned_stop.plan_within(started, self._settings.stop_seconds)
         self._leaving = True
         self._isolation.stop()
         self._application.closing = True
-        accepts_until = started + SERVE_FRACTION * timeout
-        open_until = min(accepts_until, started + planned_stop.MAX_OPEN_TIME)
-        deadline = started + (1.0 - EXIT_FRACTION) * timeout
-        self._application.begin_stop(
-            planned_stop.plan(started, open_until, deadline)
-        )
+        self._application.begin_stop(times)
         events.emit(
             events.VM_LEAVING,
             vm_id=self._settings.vm_id,
             signal=cause,
-            serve_seconds=SERVE_FRACTION * timeout,
+            serve_seconds=round(times.accepts_until - started, 3),
         )
         await self.peers.node.announce_leaving()
-        await trio.sleep_until(accepts_until)
-        await self._stopper.drain_and_stop(deadline)
+        await trio.sleep_until(times.accepts_until)
+        await self._stopper.drain_and_stop(times.cuts_off_at)
 
     def stop_immediately(self, cause: str) -> None:
         """End run() now and cut off the requests in flight."""
--- a/tests/platform/test_forwarding.py
+++ b/tests/platform/test_forwarding.py
@@ -62,7 +62,7 @@
     now = trio.current_time()
     for each in vms:
         each.vm._application.begin_stop(
-            planned_stop.plan(now, now + STOP_TIME, now + STOP_TIME)
+            planned_stop.plan_after(now, STOP_TIME, 0.0)
         )
 
 
@@ -147,7 +147,7 @@
             now = trio.current_time()
             for each in helpers:
                 each.vm._application.begin_stop(
-                    planned_stop.plan(now - 1.0, now, now)
+                    planned_stop.plan_after(now - 1.0, 1.0, 0.0)
                 )
             response = await builders.call(
                 fleet.vms[0],
