Let a request be either refused as not run or sent, never both

Cause: a refusal was decided in one task and written in another, and nothing excluded meanwhile that the request was passed on. The head was judged by a clock that ran on while the VM stood still, before its bytes were read.

Change: each request has a permit. An instance gets the first byte of a request only with it, right before the send; a refusal takes it as it is decided, and is not possible while an attempt may have run the request. A connection that is answered, reset, evicted or closed closes the permits of its requests at once and parses no further byte. Callers are judged by a clock that leaves out the time in which the process stood still, and not while their bytes wait in the socket or for a turn to be parsed. The log tells whether a head was complete as it was refused (PM3010), and how long a process stood still (PM1008).

--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -12,6 +12,7 @@
 from primrosemill.decisions import planned_stop
 from primrosemill.decisions import request_losses
 from primrosemill.decisions import routes
+from primrosemill.decisions import run_permit
 from primrosemill.decisions import splits
 from primrosemill.decisions import standings
 from primrosemill.proxy import alarm as alarms
@@ -37,10 +38,12 @@
 from primrosemill.proxy import served_requests
 from primrosemill.proxy import ticket_inspection
 from primrosemill.proxy import tracked_attempts
+from primrosemill.telemetry import events
 
 from primrosemill.proxy.customers import access
 
 HOUSEKEEPING_INTERVAL = 0.25  # seconds; far below the time of a cold start
+UNKNOWN_CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
 
 RouteLookup = routes.Match | request_policies.Refused
@@ -242,6 +245,7 @@
                 result = await self._handle_request(
                     scope, body, caller, watch, ticket, request
                 )
+            result = _check_refusal(result, connection.permit, request_id)
             await _send_result(result, caller)
             self._recorder.record_result(
                 result, request.arrived, trio.current_time(), request_id
@@ -285,6 +289,7 @@
         request: requests_in_progress.RequestInProgress,
     ) -> exchange.Result:
         now = trio.current_time()
+        permit = scope["state"][callers.CONNECTION_KEY].permit
         self.read_news()
         refused = self._refuse_early(scope)
         if refused is not None:
@@ -333,6 +338,7 @@
             self.read_news,
             request_losses.RequestLoss(),
             self._requests.stop,
+            permit,
             self.forwarding,
             ticket is not None,
             customer,
@@ -559,6 +565,21 @@
     )
 
 
+def _check_refusal(
+    result: exchange.Result, permit: run_permit.RunPermit, request_id: str
+) -> exchange.Result:
+    """Return the result, which is no refusal if the request may have run."""
+    if not isinstance(result, request_policies.Refused) or permit.refuse():
+        return result
+    events.emit(
+        events.REFUSAL_WITHHELD,
+        request_id=request_id,
+        reason=result.reason.value,
+        state=permit.state.value,
+    )
+    return UNKNOWN_CANCELLED
+
+
 async def _send_result(
     result: exchange.Result, caller: callers.Caller
 ) -> None:
--- a/packages/proxy/src/primrosemill/proxy/attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/attempts.py
@@ -5,7 +5,6 @@
 relayed to the caller, so that a truncated answer can still be retried.
 """
 
-import functools
 import typing
 
 import httpcore
@@ -14,6 +13,7 @@
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import instance_usage
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import run_permit
 from primrosemill.proxy import asgi
 from primrosemill.proxy import connections
 from primrosemill.proxy import dialects
@@ -94,8 +94,11 @@
         instance: documents.Instance,
         outgoing: Outgoing,
         may_send: MaySend,
+        permit: run_permit.RunPermit | None = None,
     ) -> None:
         self._may_send = may_send
+        self._permit = permit or run_permit.RunPermit()
+        self._has_begun = False
         self._pool = pool
         self._instance = instance
         self._outgoing = outgoing
@@ -105,6 +108,8 @@
         self._complete = False
         self._reused = False
         self.maybe_ran = False
+        # Whether the instance got no byte, or said that it has not run it.
+        self.not_run = False
         self.connected_anew = False
         self.draining = False
         self.load: instance_usage.Load | None = None
@@ -118,6 +123,7 @@
         It is kept only if the answer was read completely and the instance
         is not leaving.
         """
+        self._end()
         connection, self._connection = self._connection, None
         if connection is None:
             return
@@ -129,6 +135,27 @@
             with trio.CancelScope(shield=True):
                 await self._body.aclose()
 
+    def _begin(self) -> bool:
+        """Return whether the instance still takes requests.
+
+        Nothing may be awaited between this and the first byte. Raises
+        instance_stream.RequestClosedError if the request must not be sent
+        any more, and what ``may_send`` raises.
+        """
+        if not self._may_send(self._instance):
+            return False
+        if not self._permit.begin_attempt():
+            raise instance_stream.RequestClosedError
+        self._has_begun = True
+        return True
+
+    def _end(self) -> None:
+        """Tell the permit whether the request may have run."""
+        if self._has_begun:
+            self._has_begun = False
+            sent = self._connection.stream.has_written
+            self._permit.end_attempt(not_run=self.not_run or not sent)
+
     async def next_chunk(self) -> bytes | outcomes.Unknown | None:
         """Read the next chunk of the answer's body; None at its end.
 
@@ -153,9 +180,17 @@
         connect_failure = await self._connect()
         if connect_failure is not None:
             return connect_failure
+        result = await self._run_connected()
+        self.not_run = isinstance(result, outcomes.NotRun)
+        return result
+
+    async def _run_connected(self) -> Result:
         try:
             return await self._exchange()
-        except instance_stream.DeadlinePassedError:
+        except (
+            instance_stream.DeadlinePassedError,
+            instance_stream.RequestClosedError,
+        ):
             return outcomes.NotRun(outcomes.NotRunReason.CANCELLED_UNSENT)
         except instance_stream.InstanceLeftError:
             return outcomes.NotRun(outcomes.NotRunReason.INSTANCE_LEFT)
@@ -188,11 +223,7 @@
     async def _exchange(self) -> Result:
         has_body = not self._outgoing.body.absent
         stream = self._connection.stream
-        stream.begin_attempt(
-            self._outgoing.deadline,
-            has_body,
-            functools.partial(self._may_send, self._instance),
-        )
+        stream.begin_attempt(self._outgoing.deadline, has_body, self._begin)
         response = await self._connection.http.handle_async_request(
             self._build_request(has_body)
         )
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -16,6 +16,7 @@
 import hypercorn.trio.worker_context
 import trio
 
+from primrosemill.fleet import awake_clock
 from primrosemill.proxy import asgi
 from primrosemill.proxy import callers
 from primrosemill.proxy import inbox
@@ -60,6 +61,9 @@
 MIN_RATE = 8_000.0  # bytes a second
 # How long a connection that was given up may take to write its refusal.
 EVICTION_TIME = 1.0  # seconds
+# How much longer than allowed a caller may take whose bytes have arrived and
+# are not read yet.
+UNREAD_TIME = 1.0  # seconds
 # A refusal of heavy work is late by this, so that a client that tries again
 # at once costs little.
 REFUSAL_PAUSE = 1.0  # seconds
@@ -101,6 +105,7 @@
         self._head_lines = 0
         self._small_pieces = 0
         self._parsing = False
+        self._parsing_ended = False
         self._parsed_size = 0
         self._turn_scope = trio.CancelScope()
         self._closing = False
@@ -108,7 +113,10 @@
         self._space_freed = trio.lowlevel.ParkingLot()
         self._linger_scope = trio.CancelScope()
         self._linger_ended = trio.Event()
-        now = trio.current_time()
+        # All times of the connection are those of the awake clock: what the
+        # VM itself takes is no delay of the caller.
+        self._clock = awake_clock.current()
+        now = self._clock.current_time()
         self.idle_since: float | None = now
         self._busy_since = now
         self._received_at = now
@@ -155,6 +163,7 @@
             self._handle_failure(error)
         finally:
             self._linger_scope.cancel()
+            self._close_permits()
             await self._discard_requests()
             if self.idle_since is None and not self._finished:
                 # A request is in progress: its answer is not complete.
@@ -165,13 +174,13 @@
 
     async def _receive(self) -> bytes:
         """Receive bytes, less often while they come in small pieces."""
+        self._reading = True
         if self._small_pieces > SMALL_PIECES:
             pause = PIECE_PAUSE * (self._small_pieces - SMALL_PIECES)
             await trio.sleep(min(pause, MAX_PIECE_PAUSE))
-        self._reading = True
         data = await self._socket.receive(RECEIVE_SIZE)
         self._reading = False
-        self._received_at = trio.current_time()
+        self._received_at = self._clock.current_time()
         self._body_size += len(data)
         return data
 
@@ -222,6 +231,9 @@
             if len(self._requests) >= self._request_limit():
                 return False
             request = self._add_request()
+        if self._parsing_ended:
+            self._unparsed.clear()
+            return False
         if request.protocol.has_head:
             data = bytes(self._unparsed)
             self._unparsed.clear()
@@ -272,11 +284,11 @@
             )
         except memory.heavy_work.TooMuchWorkError:
             self._account.count(memory.account.Cause.HEAVY_WORK)
-            self._unparsed.clear()
-            await trio.sleep(REFUSAL_PAUSE)
-            await request.protocol.refuse(STATUS_UNAVAILABLE)
+            if self._decide_refusal(request):
+                await trio.sleep(REFUSAL_PAUSE)
+                await request.protocol.refuse(STATUS_UNAVAILABLE)
             return False
-        return not self._socket.closed
+        return not self._parsing_ended and not self._socket.closed
 
     def _request_limit(self) -> int:
         """Return how many requests may be read before they are answered."""
@@ -286,7 +298,11 @@
 
     def _is_closing(self) -> bool:
         """Return whether no request is accepted after the current last one."""
-        return self._closing or self._context.terminated.is_set()
+        return (
+            self._closing
+            or self._parsing_ended
+            or self._context.terminated.is_set()
+        )
 
     def _add_request(self) -> pipelining.PipelinedRequest:
         request = pipelining.PipelinedRequest(
@@ -327,7 +343,7 @@
             self._requests[0].allow_writing()
         else:
             self._add_request()
-            self.idle_since = trio.current_time()
+            self.idle_since = self._clock.current_time()
         if self._unparsed:
             self._nursery.start_soon(self._resume_parsing)
 
@@ -359,8 +375,8 @@
         if self._finished:
             return
         self._finished = True
-        self._finished_at = trio.current_time()
-        self._unparsed.clear()
+        self._finished_at = self._clock.current_time()
+        self._give_up()
         self._turn_scope.cancel()
         self._space_freed.unpark_all()
         self._socket.shutdown_write()
@@ -387,7 +403,7 @@
         ):
             self._partial_head_since = None
         elif self._partial_head_since is None:
-            self._partial_head_since = trio.current_time()
+            self._partial_head_since = self._clock.current_time()
 
     async def spawn_app(
         self,
@@ -429,46 +445,87 @@
 
     def reset(self) -> None:
         """Reset, so that the caller can't mistake the answer for complete."""
+        self._give_up()
         self._socket.reset()
         self._turn_scope.cancel()
         self._space_freed.unpark_all()
 
     def close_if_idle(self, oldest: float) -> None:
-        """Close if idle since ``oldest`` or before, a trio time.
+        """Close if idle since ``oldest`` or before, an awake time.
 
-        The connection stays open if unread bytes of a request have arrived.
+        The connection stays open if bytes of a request have arrived that are
+        not read or parsed yet.
         """
         if self.idle_since is None or self.idle_since > oldest:
             return
-        if not self._socket.is_readable():
-            self._socket.close()
+        if self._parsing or self._socket.is_readable():
+            return
+        self._give_up()
+        self._socket.close()
 
     def refuse_slow_head(self, oldest: float) -> None:
-        """Refuse a head that began at ``oldest`` (a trio time) or before."""
-        if (
-            self._partial_head_since is None
-            or self._partial_head_since > oldest
-        ):
+        """Refuse a head that began at ``oldest``, an awake time, or before.
+
+        Only the caller's own time counts: a head that waits here until it is
+        read or parsed is not slow.
+        """
+        since = self._partial_head_since
+        if since is None or since > oldest or not self._awaits_caller():
             return
-        self._partial_head_since = None
-        if self._requests:
+        if since > oldest - UNREAD_TIME and self._socket.is_readable():
+            return
+        request = self._requests[-1]
+        if request.protocol.has_partial_head() and (
+            self._decide_refusal(request)
+        ):
             self._nursery.start_soon(
-                self._requests[-1].protocol.refuse, STATUS_REQUEST_TIMEOUT
+                request.protocol.refuse, STATUS_REQUEST_TIMEOUT
             )
 
+    def _awaits_caller(self) -> bool:
+        """Return whether all that was received has been parsed."""
+        return self._reading and not self._parsing and bool(self._requests)
+
+    def _decide_refusal(self, request: pipelining.PipelinedRequest) -> bool:
+        """Return whether to refuse a request without a complete head.
+
+        If so, no byte of the connection is parsed any more.
+        """
+        if self._parsing_ended or not request.permit.refuse():
+            return False
+        self._end_parsing()
+        return True
+
+    def _end_parsing(self) -> None:
+        """Parse no further byte, so that no further request is read."""
+        self._parsing_ended = True
+        self._unparsed.clear()
+        self._partial_head_since = None
+
+    def _give_up(self) -> None:
+        """Let no further attempt of any request begin, from now on."""
+        self._end_parsing()
+        self._close_permits()
+
+    def _close_permits(self) -> None:
+        for request in self._requests:
+            request.permit.close()
+
     async def write(self, data: bytes) -> None:
         """Send bytes; on failure mark the caller as disconnected."""
         held = len(data)
         if held > sockets.YIELD_THRESHOLD:
             held += memory.sizes.SEND_BUFFER
         self._holding.charge(memory.account.Kind.ANSWER, held)
-        self._write_since = self._write_progress_at = trio.current_time()
+        self._write_since = self._clock.current_time()
+        self._write_progress_at = self._write_since
         try:
             view = memoryview(data)
             while view:
                 view = view[await self._socket.send_some(view) :]
-                self._write_progress_at = trio.current_time()
+                self._write_progress_at = self._clock.current_time()
         except OSError:
+            self._give_up()
             for request in tuple(self._requests):
                 request.mark_disconnected()
             self._socket.close()
@@ -511,9 +568,11 @@
 
     def evict(self) -> None:
         """Refuse the request in progress if it may be, and close."""
-        self._evicted_at = trio.current_time()
+        self._evicted_at = self._clock.current_time()
         self._closing = True
+        self._close_permits()
         if self.idle_since is not None or self._finished:
+            self._give_up()
             self._socket.close()
             self._space_freed.unpark_all()
             return
@@ -534,7 +593,11 @@
                 self.reset()
             return
         phase, age, stalled = self.describe_wait(now)
-        if phase is memory.eviction.Phase.BODY and self._reading:
+        if phase is memory.eviction.Phase.BODY and self._awaits_caller():
+            if stalled < MAX_STALL + UNREAD_TIME and (
+                self._socket.is_readable()
+            ):
+                return
             too_slow = age > SLOW_TIME and self._body_size < MIN_RATE * age
             if stalled > MAX_STALL or too_slow:
                 self._account.count(memory.account.Cause.SLOW_BODY)
@@ -542,5 +605,9 @@
         elif phase is memory.eviction.Phase.READER and (
             stalled > MAX_STALL or age > SLOW_TIME
         ):
+            if stalled < MAX_STALL + UNREAD_TIME and (
+                self._socket.is_writable()
+            ):
+                return
             self._account.count(memory.account.Cause.SLOW_READER)
             self.reset()
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -6,6 +6,7 @@
 import trio
 
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import run_permit
 from primrosemill.proxy import asgi
 from primrosemill.proxy import attempts
 from primrosemill.proxy import dialects
@@ -28,6 +29,7 @@
 class CallerConnection(typing.Protocol):
     """The caller's connection, as the request that uses it sees it."""
 
+    permit: run_permit.RunPermit
     disconnected: bool
     on_disconnect: typing.Callable[[], None] | None
     on_evict: typing.Callable[[], None] | None
@@ -109,6 +111,7 @@
     ) -> outcomes.Unknown | None:
         """Relay an answer; return why it broke off, or None if complete."""
         self.started = True
+        self._connection.permit.close()
         self._relay_deadline = (
             trio.current_time() + self._dialect.max_relay_time
         )
@@ -138,7 +141,10 @@
         return chunk
 
     async def refuse(self, refused: request_policies.Refused) -> None:
-        """Answer that the request was not run, why, and when to retry."""
+        """Answer that the request was not run, why, and when to retry.
+
+        The request's permit must have allowed it.
+        """
         retry_after = f"{refused.retry_after:.2f}".encode()
         if self._dialect.integer_retry_after:
             retry_after = str(max(1, math.ceil(refused.retry_after))).encode()
@@ -158,6 +164,7 @@
 
     async def send_unknown(self, unknown: outcomes.Unknown) -> None:
         """Answer that it is unknown whether the request was run."""
+        self._connection.permit.close()
         status = STATUS_BY_UNKNOWN.get(unknown.reason, STATUS_BAD_GATEWAY)
         await self._send_empty_answer(
             status,
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -44,6 +44,7 @@
 from primrosemill.proxy import loss_exchange
 from primrosemill.proxy import memory
 from primrosemill.proxy import notifier
+from primrosemill.proxy import pause_log
 from primrosemill.proxy import peers
 from primrosemill.proxy import request_guard
 from primrosemill.proxy import request_policies
@@ -242,6 +243,7 @@
 
     async def run(self) -> None:
         """Serve until stopped; accept callers once routes are known."""
+        pause_log.start()
         with self._run_scope:
             async with trio.open_nursery() as nursery:
                 settings = self._settings
--- a/packages/proxy/src/primrosemill/proxy/forwarded_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/forwarded_attempts.py
@@ -44,6 +44,7 @@
                 context.build_outgoing(), context.service, attempted
             ),
             _may_always_send,
+            context.permit,
         )
         events.emit(
             events.REQUEST_FORWARDED,
@@ -67,6 +68,7 @@
             self._forwarding.in_flight -= 1
         if isinstance(result, attempts.Answer):
             result = _read_outcome(result)
+            self.attempt.not_run = isinstance(result, outcomes.NotRun)
         self._result = result
         return result
 
--- a/packages/proxy/src/primrosemill/proxy/http1.py
+++ b/packages/proxy/src/primrosemill/proxy/http1.py
@@ -143,13 +143,19 @@
         return self.has_bytes and not self.has_head
 
     async def refuse(self, status: int) -> None:
-        """Answer a request whose head is incomplete, and close."""
+        """Answer a request whose head is incomplete, and close.
+
+        The request's permit must have allowed it.
+        """
+        if self.connection.our_state not in ANSWERABLE_STATES:
+            return
         await self._send_error_response(status)
         await self.send(hypercorn.events.Closed())
 
     async def _send_error_response(self, status_code: int) -> None:
         """Send and log an error answer to an unreadable request."""
-        events.emit(events.HEAD_REFUSED, status=status_code)
+        head = "complete" if self.has_head else "partial"
+        events.emit(events.HEAD_REFUSED, status=status_code, head=head)
         await super()._send_error_response(status_code)
 
     async def _maybe_recycle(self) -> None:
--- a/packages/proxy/src/primrosemill/proxy/instance_stream.py
+++ b/packages/proxy/src/primrosemill/proxy/instance_stream.py
@@ -38,6 +38,10 @@
     """The instance began to leave before the first byte was written."""
 
 
+class RequestClosedError(Exception):
+    """The request was refused, answered or given up before the first byte."""
+
+
 class KeyRefusedError(Exception):
     """The key of the request holds no more, before the first byte."""
 
--- a/packages/proxy/src/primrosemill/proxy/memory/account.py
+++ b/packages/proxy/src/primrosemill/proxy/memory/account.py
@@ -14,6 +14,7 @@
 import prometheus_client
 import trio
 
+from primrosemill.fleet import awake_clock
 from primrosemill.telemetry import events
 from primrosemill.telemetry import metrics
 
@@ -269,7 +270,9 @@
             return
         self._next_relief = now + RELIEF_PAUSE
         excess = self.held - int(self.limit * RELIEF_FRACTION)
-        chosen = eviction.choose_holders(self._candidates(now), excess)
+        chosen = eviction.choose_holders(
+            self._candidates(awake_clock.now()), excess
+        )
         self._evict(chosen, Cause.MEMORY)
 
     async def run(self) -> None:
@@ -287,7 +290,7 @@
         With an address, only its connections are closed.
         """
         chosen = eviction.choose_waiting(
-            self._candidates(trio.current_time(), address), count
+            self._candidates(awake_clock.now(), address), count
         )
         self._evict(chosen, Cause.NO_PLACE)
         return bool(chosen)
--- a/packages/proxy/src/primrosemill/proxy/pipelining.py
+++ b/packages/proxy/src/primrosemill/proxy/pipelining.py
@@ -13,6 +13,7 @@
 import hypercorn.typing
 import trio
 
+from primrosemill.decisions import run_permit
 from primrosemill.proxy import asgi
 from primrosemill.proxy import callers
 from primrosemill.proxy import http1
@@ -74,6 +75,7 @@
         self._buffered = b""
         self._buffering = False
         self._may_write: trio.Event | None = trio.Event()
+        self.permit = run_permit.RunPermit()
         self.disconnected = False
         self.on_disconnect: typing.Callable[[], None] | None = None
         self.on_evict: typing.Callable[[], None] | None = None
@@ -116,6 +118,7 @@
     def mark_disconnected(self) -> None:
         """Mark the caller as disconnected: nobody reads the answer."""
         self.disconnected = True
+        self.permit.close()
         if self.on_disconnect is not None:
             self.on_disconnect()
         self.allow_writing()
--- a/packages/proxy/src/primrosemill/proxy/server.py
+++ b/packages/proxy/src/primrosemill/proxy/server.py
@@ -7,6 +7,7 @@
 import trio
 
 from primrosemill.configuration import document as documents
+from primrosemill.fleet import awake_clock
 from primrosemill.proxy import asgi
 from primrosemill.proxy import caller_connection
 from primrosemill.proxy import memory
@@ -156,7 +157,7 @@
             self._close_idle()
 
     def _close_idle(self) -> None:
-        now = trio.current_time()
+        now = awake_clock.now()
         idle_timeout = (
             DRAIN_IDLE_TIMEOUT if self._draining else self._idle_timeout
         )
--- a/packages/proxy/src/primrosemill/proxy/sockets.py
+++ b/packages/proxy/src/primrosemill/proxy/sockets.py
@@ -83,10 +83,15 @@
 
     def is_readable(self) -> bool:
         """Return whether received bytes or the end of stream can be read."""
-        if self.closed:
-            return True
+        return self.closed or self._poll(select.POLLIN)
+
+    def is_writable(self) -> bool:
+        """Return whether the kernel accepts bytes, or the peer is gone."""
+        return self.closed or self._poll(select.POLLOUT)
+
+    def _poll(self, condition: int) -> bool:
         poller = select.poll()
-        poller.register(self._socket, select.POLLIN)
+        poller.register(self._socket, condition)
         return bool(poller.poll(0))
 
     def shutdown_write(self) -> None:
--- a/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
@@ -9,6 +9,7 @@
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import planned_stop
 from primrosemill.decisions import request_losses
+from primrosemill.decisions import run_permit
 from primrosemill.decisions import slot_pool as slot_pools
 from primrosemill.proxy import attempts
 from primrosemill.proxy import connections
@@ -99,6 +100,7 @@
     must not. ``customer`` is the one that the request counts for, if any;
     ``recheck_key`` tells why its key does not hold any more. ``loss`` is
     whether the request counts as lost, ``stop`` the planned stop of this VM.
+    ``permit`` excludes that it is sent once it was refused.
     """
 
     service: str
@@ -111,6 +113,7 @@
     read_news: typing.Callable[[], None]
     loss: request_losses.RequestLoss
     stop: planned_stop.PlannedStop
+    permit: run_permit.RunPermit
     forwarding: peer_forwarding.PeerForwarding | None = None
     is_forwarded: bool = False
     customer: documents.Customer | None = None
@@ -164,6 +167,7 @@
             instance,
             context.build_outgoing(),
             context.may_send,
+            context.permit,
         )
         self.result: attempts.Result | None = None
         self.relay_failure: outcomes.Unknown | None = None
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -86,6 +86,14 @@
     "`count` since the last time; sizes in bytes.",
     ("cause", "count", "connections", "held", "limit", "resident"),
 )
+VM_PAUSED = Event(
+    "PM1008",
+    "vm_paused",
+    Level.WARNING,
+    "The process stood still for `seconds`, or was too busy to read what had "
+    "arrived. Callers, other VMs and the store are not judged by that time.",
+    ("seconds",),
+)
 CONFIGURATION_IN_FORCE = Event(
     "PM2001",
     "configuration_in_force",
@@ -246,8 +254,9 @@
     "head_refused",
     Level.WARNING,
     "A caller's bytes are not a valid request, or its headers were too slow "
-    "or too large; the connection is closed.",
-    ("status",),
+    "or too large; the connection is closed. `head` tells whether it was "
+    "complete or partial as the answer was written.",
+    ("status", "head"),
 )
 DIRECTIONS_REFUSED = Event(
     "PM3011",
@@ -427,6 +436,15 @@
         *("present", "lost"),
     ),
 )
+REFUSAL_WITHHELD = Event(
+    "PM3023",
+    "refusal_withheld",
+    Level.ERROR,
+    "A request was to be refused for `reason`, but it may have run, so its "
+    "outcome is reported as unknown. This is a fault of the proxy; `state` is "
+    "that of the request's permit.",
+    ("request_id", "reason", "state"),
+)
 CAP_REFUSED = Event(
     "PM3022",
     "cap_refused",
@@ -541,6 +559,7 @@
     VM_STOP_CUT_SHORT,
     REQUEST_CUT_OFF,
     CONNECTIONS_GIVEN_UP,
+    VM_PAUSED,
     VM_DETACHED,
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_REFUSED,
@@ -575,6 +594,7 @@
     FORWARDING_ACCEPTED,
     TICKET_REFUSED,
     CAP_REFUSED,
+    REFUSAL_WITHHELD,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
--- /dev/null
+++ b/tests/builders/frozen_vms.py
@@ -0,0 +1,224 @@
+"""Plays callers of a proxy that stands still, with trio's test clock.
+
+Sockets are real, so bytes arrive while the clock jumps, as they do while a
+process is suspended.
+"""
+
+import contextlib
+import random
+import socket
+import typing
+
+import trio
+import trio.testing
+
+from primrosemill.configuration import document as documents
+from primrosemill.decisions import planned_stop
+from primrosemill.platform import headers
+from primrosemill.proxy import application
+from primrosemill.proxy import memory
+from primrosemill.proxy import server
+from primrosemill.standins import users_instance
+from tests.builders import configuration
+from tests.builders import path
+from tests.builders import pipelines
+
+HEAD_TIMEOUT = 3.0  # seconds
+IDLE_TIMEOUT = 15.0  # seconds
+BOUNDS = documents.RequestLimits(
+    max_head_size=16_384,
+    max_body_size=1_000_000,
+    head_timeout=HEAD_TIMEOUT,
+    idle_timeout=IDLE_TIMEOUT,
+)
+STEP = 0.02  # seconds
+PASSES = 40  # of the event loop, in which a request can be served
+# These statuses promise that the request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+HEAD_PART = 60  # bytes
+
+
+class World:
+    """A proxy, its instances and its callers."""
+
+    def __init__(self, clock: trio.testing.MockClock) -> None:
+        self.clock = clock
+        self.account = memory.account.Account()
+        self.application = application.Application(
+            random.Random(1),
+            dialect=headers.DIALECT,
+            account=self.account,
+        )
+        self.server = server.Server(self.application, account=self.account)
+        self.instances: list[users_instance.InstanceStandin] = []
+        self.callers: list[Caller] = []
+        self.port = 0
+
+    async def start(
+        self, nursery: trio.Nursery, count: int, slots: int, pause: float
+    ) -> None:
+        """Start the instances and the proxy."""
+        values = []
+        for number in range(count):
+            # The proxy names the instance that it means in each request.
+            value = configuration.instance_value(number)
+            instance = users_instance.InstanceStandin(value["id"], pause)
+            served = await nursery.start(instance.serve, path.IP)
+            self.instances.append(instance)
+            values.append(value | {"address": served.address})
+        service = configuration.service_value(
+            instances=values,
+            floor=1,
+            slots=slots,
+            routes=path.route_values(5.0),
+        )
+        self.application.set_document(
+            configuration.assembled(service).document
+        )
+        self.server.set_bounds(BOUNDS)
+        nursery.start_soon(self.application.run_timed_tasks)
+        self.port = await nursery.start(self.server.run, path.IP, 0)
+        await self.settle()
+
+    async def settle(self) -> None:
+        """Let all tasks do what they can without time passing."""
+        for _ in range(PASSES):
+            await trio.lowlevel.checkpoint()
+
+    async def advance(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        while seconds > 0.0:
+            self.clock.jump(min(STEP, seconds))
+            seconds -= STEP
+            for _ in range(4):
+                await trio.lowlevel.checkpoint()
+
+    async def freeze(self, seconds: float) -> None:
+        """Let time pass in which the proxy does nothing."""
+        self.clock.jump(seconds)
+        await self.settle()
+
+    def stop(self) -> None:
+        """Begin a planned stop that leaves little time."""
+        now = trio.current_time()
+        self.application.closing = True
+        self.application.begin_stop(planned_stop.plan_within(now, 6.0))
+
+    def connect(self) -> "Caller":
+        """Open a caller's connection."""
+        caller = Caller(self.port)
+        self.callers.append(caller)
+        return caller
+
+    def ids_run(self) -> list[str]:
+        """Return the ids of all runs at the instances."""
+        return [
+            run.request_id
+            for instance in self.instances
+            for run in instance.runs
+        ]
+
+    def statuses(self) -> dict[str, int]:
+        """Return the status of each answered request by its id."""
+        statuses_by_id = {}
+        for caller in self.callers:
+            statuses_by_id.update(caller.statuses())
+        return statuses_by_id
+
+    def broken_promises(self) -> list[str]:
+        """Return the ids of requests that were refused and have run."""
+        run = set(self.ids_run())
+        return [
+            request_id
+            for request_id, status in self.statuses().items()
+            if status in PROMISES and request_id in run
+        ]
+
+
+class Caller:
+    """A connection whose sends never wait."""
+
+    def __init__(self, port: int) -> None:
+        self._socket = socket.create_connection((path.IP, port))
+        self._socket.setblocking(False)
+        self._received = b""
+        self._unsent = b""
+        self.ids: list[str] = []
+
+    def begin(self, request_id: str, data: bytes, size: int) -> None:
+        """Send the first bytes of a request."""
+        self.ids.append(request_id)
+        self._unsent = data[size:]
+        self._send(data[:size])
+
+    def finish(self) -> None:
+        """Send the rest of the request that was begun."""
+        data, self._unsent = self._unsent, b""
+        self._send(data)
+
+    @property
+    def is_within_request(self) -> bool:
+        """Return whether a request was begun and not finished."""
+        return bool(self._unsent)
+
+    def close(self) -> None:
+        """Disconnect."""
+        self.statuses()
+        self._unsent = b""
+        self._socket.close()
+
+    def statuses(self) -> dict[str, int]:
+        """Return the status of each answered request by its id.
+
+        Answers come in the order of the requests.
+        """
+        with contextlib.suppress(OSError):
+            while data := self._socket.recv(65_536):
+                self._received += data
+        answers = pipelines.parse(self._received)
+        return {
+            request_id: answer.status
+            for request_id, answer in zip(self.ids, answers, strict=False)
+        }
+
+    def count_answers(self) -> int:
+        """Return how many answers have arrived."""
+        self.statuses()
+        return len(pipelines.parse(self._received))
+
+    def _send(self, data: bytes) -> None:
+        with contextlib.suppress(OSError):
+            self._socket.send(data)
+
+
+def booking(request_id: str, **changes: typing.Any) -> bytes:
+    """Return a request that must not run twice."""
+    return pipelines.request(
+        request_id, path.NON_IDEMPOTENT_PATH, "POST", **changes
+    )
+
+
+def read(request_id: str, **changes: typing.Any) -> bytes:
+    """Return a request that may run twice."""
+    return pipelines.request(request_id, path.IDEMPOTENT_PATH, **changes)
+
+
+def run(
+    check: typing.Callable[[World], typing.Awaitable[None]],
+    count: int = 2,
+    slots: int = 3,
+    pause: float = 0.0,
+) -> None:
+    """Run a check with a proxy whose clock moves only with the check."""
+    clock = trio.testing.MockClock()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            world = World(clock)
+            await world.start(nursery, count, slots, pause)
+            await check(world)
+            for caller in world.callers:
+                caller.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=clock)
