Read what arrived during a pause before other VMs, the store or a deadline

Callers saw: an answer that had arrived while a VM stood still was given up with 504 if the time limit of its request had passed meanwhile and it took more than one read; a reader of the store counted its page as late.

Cause: the same as of the false 408: a deadline ends a task as the process wakes, before the bytes in its socket are read. The clock of the membership ran on too, below the second from which on a pause counts.

Change: the deadlines of requests and of reads of the store leave 0.1 s after a pause to read what has arrived, once a second at most, so they end also in a process whose passes are all too long. The membership goes by the awake clock, and is told how much that left out, so that it still starts its measurements anew after a second. What callers or the platform measure themselves goes by the usual clock as before: time limits, planned stops, the age of the configuration.

--- a/packages/fleet/src/primrosemill/fleet/configuration_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/configuration_follower.py
@@ -13,6 +13,7 @@
 from primrosemill.configuration import faults
 from primrosemill.configuration import values
 from primrosemill.configuration import versions
+from primrosemill.fleet import awake_clock
 from primrosemill.fleet import interfaces
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
@@ -279,7 +280,7 @@
         ) as connection:
             entries = await pulls.pull_members(connection)
         if entries is not None:
-            self._view.merge_table(entries, trio.current_time())
+            self._view.merge_table(entries, awake_clock.now())
 
     def answer_pull(self, pull: messages.Pull) -> messages.PullAnswer:
         """Return the answer to a pull of values or of the member table."""
--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -11,6 +11,7 @@
 import trio
 
 from primrosemill.decisions import vm_capacity
+from primrosemill.fleet import awake_clock
 from primrosemill.fleet import boot_clock
 from primrosemill.fleet import feed
 from primrosemill.fleet import feed_reader_policy
@@ -225,7 +226,7 @@
         ) as connection:
             entries = await pulls.pull_members(connection)
         if entries is not None:
-            self._view.merge_table(entries, trio.current_time())
+            self._view.merge_table(entries, awake_clock.now())
 
     def forget(self, vm_id: str) -> None:
         """Drop the state kept for a VM that is gone."""
--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -215,9 +215,13 @@
                     self._targets.suspect_domain_of(entry, now)
         return newer
 
-    def tick(self, now: float) -> list[Outgoing]:
-        """Return the messages that are due and time out unanswered probes."""
-        self._detect_pause(now)
+    def tick(self, now: float, paused: float = 0.0) -> list[Outgoing]:
+        """Return the messages that are due and time out unanswered probes.
+
+        ``paused`` is the time since the last tick that ``now`` leaves out,
+        in seconds.
+        """
+        self._detect_pause(now, paused)
         outgoing: list[Outgoing] = []
         self._expire_suspects(now)
         self._check_probes(now, outgoing)
@@ -355,9 +359,9 @@
         elif received.counter == self.own.counter and received != self.own:
             self._update_own()
 
-    def _detect_pause(self, now: float) -> None:
+    def _detect_pause(self, now: float, paused: float) -> None:
         """Discard pending probes and timers if this process was paused."""
-        if now - self._last_tick_at > PAUSE_THRESHOLD:
+        if now - self._last_tick_at + paused > PAUSE_THRESHOLD:
             self._probes_by_nonce.clear()
             self._relays_by_nonce.clear()
             self.table.restart_suspicions(now)
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -13,6 +13,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import evidence
+from primrosemill.fleet import awake_clock
 from primrosemill.fleet import boot_clock
 from primrosemill.fleet import configuration_follower
 from primrosemill.fleet import evidence_inbox
@@ -264,7 +265,7 @@
             capacity_rps=identity.capacity_rps,
         )
         self.membership = membership.Membership(
-            own, self._first_peers, self._generator, now
+            own, self._first_peers, self._generator, awake_clock.now()
         )
         self.membership.table.on_change = self._observe_member
         self.version_tracker = version_tracker.VersionTracker(
@@ -419,7 +420,7 @@
         if isinstance(message, messages.CapGrant):
             self._hooks.on_cap_grant(received.sender_id, message)
             return
-        outgoing = self.membership.receive(message, trio.current_time())
+        outgoing = self.membership.receive(message, awake_clock.now())
         if isinstance(message, messages.Ping | messages.Ack):
             self.follower.record_peer_version(
                 received.sender_id, message.version
@@ -500,10 +501,16 @@
             )
 
     async def _tick(self) -> None:
+        clock = awake_clock.current()
+        paused_before = clock.paused
         while True:
             # An answer that has arrived must not time out unread.
             await self._transport.handle_arrived(self._handle)
-            await self._send_all(self.membership.tick(trio.current_time()))
+            paused = clock.paused - paused_before
+            paused_before = clock.paused
+            await self._send_all(
+                self.membership.tick(clock.current_time(), paused)
+            )
             await self._send_evidence()
             await trio.sleep(TICK_INTERVAL)
 
--- a/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
+++ b/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
@@ -9,6 +9,7 @@
 import trio
 
 from primrosemill.decisions import planned_stop
+from primrosemill.fleet import awake_clock
 from primrosemill.proxy import callers
 from primrosemill.proxy import exchange
 from primrosemill.telemetry import events
@@ -47,10 +48,11 @@
             return Phase.PASSED_ON
         return Phase.WAITING
 
-    def open_scope(self, deadline: float) -> trio.CancelScope:
-        """Return a scope for the next part of the work on the request."""
-        self._scope = trio.CancelScope(deadline=deadline)
-        return self._scope
+    def open_scope(self, time: float) -> awake_clock.Deadline:
+        """Return the deadline of the next part of the work on the request."""
+        deadline = awake_clock.deadline(time)
+        self._scope = deadline.scope
+        return deadline
 
     def set_exchange(
         self, request_exchange: exchange.Exchange, deadline: float
--- a/packages/published/src/primrosemill/published/bounded_client.py
+++ b/packages/published/src/primrosemill/published/bounded_client.py
@@ -6,8 +6,8 @@
 
 import expression
 import httpcore
-import trio
 
+from primrosemill.fleet import awake_clock
 from primrosemill.fleet import interfaces
 from primrosemill.published import bounded_connection
 
@@ -49,13 +49,13 @@
         """Return the complete answer, or a fault after ``timeout`` seconds."""
         # The timeout covers the whole answer. With a timeout per read, a store
         # that trickles bytes could keep its reader waiting forever.
-        with trio.move_on_after(timeout):
+        with awake_clock.move_on_after(timeout):
             return await self._get(path)
         return expression.Error(interfaces.TimedOut(path, timeout))
 
     async def post(self, path: str, timeout: float) -> AnswerResult:
         """Send a POST without a body once; return as :meth:`get` does."""
-        with trio.move_on_after(timeout):
+        with awake_clock.move_on_after(timeout):
             return await self._attempt(path, "POST")
         return expression.Error(interfaces.TimedOut(path, timeout))
 
--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -31,6 +31,7 @@
     head_timeout=HEAD_TIMEOUT,
     idle_timeout=IDLE_TIMEOUT,
 )
+STOP_SECONDS = 6.0
 STEP = 0.02  # seconds
 PASSES = 40  # of the event loop, in which a request can be served
 # These statuses promise that the request has not run and never will.
@@ -51,13 +52,17 @@
         )
         self.server = server.Server(self.application, account=self.account)
         self.instances: list[users_instance.InstanceStandin] = []
+        self.played = PlayedInstance()
         self.callers: list[Caller] = []
         self.port = 0
 
     async def start(
         self, nursery: trio.Nursery, count: int, slots: int, pause: float
     ) -> None:
-        """Start the instances and the proxy."""
+        """Start the instances and the proxy.
+
+        Without a count, there is one instance that the test itself plays.
+        """
         values = []
         for number in range(count):
             # The proxy names the instance that it means in each request.
@@ -66,6 +71,9 @@
             served = await nursery.start(instance.serve, path.IP)
             self.instances.append(instance)
             values.append(value | {"address": served.address})
+        if not count:
+            value = configuration.instance_value(0)
+            values.append(value | {"address": self.played.address})
         service = configuration.service_value(
             instances=values,
             floor=1,
@@ -99,10 +107,19 @@
         await self.settle()
 
     def stop(self) -> None:
-        """Begin a planned stop that leaves little time."""
+        """Begin a planned stop."""
         now = trio.current_time()
         self.application.closing = True
-        self.application.begin_stop(planned_stop.plan_within(now, 6.0))
+        self.application.begin_stop(
+            planned_stop.plan_within(now, STOP_SECONDS)
+        )
+
+    def evict(self, fraction: float = 0.0) -> None:
+        """Give up connections until a fraction of what they hold is left."""
+        limit = self.account.limit
+        self.account.limit = int(self.account.held * fraction)
+        self.account.relieve()
+        self.account.limit = limit
 
     def connect(self) -> "Caller":
         """Open a caller's connection."""
@@ -135,6 +152,41 @@
         ]
 
 
+class PlayedInstance:
+    """An instance whose process is the test, so it acts during a freeze."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server((path.IP, 0))
+        self._listener.setblocking(False)
+        self._connection: socket.socket | None = None
+        self.address = "{}:{}".format(*self._listener.getsockname())
+
+    def read(self) -> bytes:
+        """Return what has arrived on the first connection."""
+        with contextlib.suppress(BlockingIOError):
+            if self._connection is None:
+                self._connection, _ = self._listener.accept()
+                self._connection.setblocking(False)
+            return self._connection.recv(2**20)
+        return b""
+
+    def answer(self, request_id: str, body: bytes) -> None:
+        """Send an answer."""
+        head = (
+            "HTTP/1.1 200 OK\r\n"
+            f"primrosemill-request-id: {request_id}\r\n"
+            "primrosemill-server-signature: by.res-0\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        )
+        self._connection.sendall(head.encode() + body)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self._listener.close()
+        if self._connection is not None:
+            self._connection.close()
+
+
 class Caller:
     """A connection whose sends never wait."""
 
@@ -181,10 +233,14 @@
             for request_id, answer in zip(self.ids, answers, strict=False)
         }
 
+    def answers(self) -> list[pipelines.Answer]:
+        """Return the complete answers that have arrived."""
+        self.statuses()
+        return pipelines.parse(self._received)
+
     def count_answers(self) -> int:
         """Return how many answers have arrived."""
-        self.statuses()
-        return len(pipelines.parse(self._received))
+        return len(self.answers())
 
     def _send(self, data: bytes) -> None:
         with contextlib.suppress(OSError):
@@ -219,6 +275,7 @@
             await check(world)
             for caller in world.callers:
                 caller.close()
+            world.played.close()
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=clock)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -173,6 +173,13 @@
         self.run_ticks(10.0, 10.9, heard=(1, 2))
         self.assertEqual(["vm-3"], self.suspects())
 
+    def test_a_pause_that_the_time_leaves_out_restarts_it_too(self):
+        self.run_ticks(0.0, 1.3, heard=(1, 2))
+        self.assertEqual(["vm-3"], self.suspects())
+        self.view.tick(1.4, paused=8.6)
+        self.run_ticks(1.5, 2.3, heard=(1, 2))
+        self.assertEqual(["vm-3"], self.suspects())
+
     def test_a_vm_without_messages_suspects_no_other_vm_at_first(self):
         self.run_ticks(0.0, 0.5, heard=(1, 2, 3))
         self.run_ticks(0.5, 3.0)
