--- a/tests/builders/pipelines.py
+++ b/tests/builders/pipelines.py
@@ -49,6 +49,11 @@
     return request(request_id, builders.ONCE_PATH, "POST", **changes)
 
 
+def find_id(data: bytes) -> str:
+    """Return the id in the head of a request."""
+    return re.search(rb"primrosemill-request-id: (\S+)", data)[1].decode()
+
+
 async def connect(built: builders.Running) -> trio.SocketStream:
     ip, port = checks.split_address(built.settings.caller_address)
     return await trio.open_tcp_stream(ip, port)
