--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -14,9 +14,11 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import planned_stop
+from primrosemill.decisions import run_permit
 from primrosemill.platform import headers
 from primrosemill.proxy import application
 from primrosemill.proxy import memory
+from primrosemill.proxy import pipelining
 from primrosemill.proxy import request_policies
 from primrosemill.proxy import server
 from primrosemill.standins import users_instance
@@ -148,6 +150,15 @@
         self.callers.append(caller)
         return caller
 
+    def permits(self) -> list[tuple[str, run_permit.RunPermit]]:
+        """Return the ids of all requests whose head was read, and permits."""
+        return [
+            (pipelines.find_id(_encode_head(request)), request.permit)
+            for connection in self.server._connections
+            for request in connection._requests
+            if request.protocol.has_head and request.protocol.stream
+        ]
+
     def ids_run(self) -> list[str]:
         """Return the ids of all runs at the instances."""
         return [
@@ -173,6 +184,11 @@
         ]
 
 
+def _encode_head(request: pipelining.PipelinedRequest) -> bytes:
+    lines = request.protocol.stream.scope["headers"]
+    return b"\r\n".join(b": ".join(line) for line in lines)
+
+
 class PlayedInstance:
     """An instance whose process is the test, so it acts during a freeze."""
 
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -7,6 +7,7 @@
 
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import outcomes
+from primrosemill.decisions import run_permit
 from primrosemill.proxy import attempts
 from primrosemill.proxy import connections
 from primrosemill.proxy import instance_stream
@@ -14,6 +15,7 @@
 from primrosemill.proxy import sockets
 from tests.builders import path as builders
 
+RECEIVE_SIZE = 65_536  # bytes
 INSTANCE = documents.Instance("res-0", builders.IP, 9, "ain-sebaa")
 
 
@@ -66,6 +68,53 @@
         )
 
 
+class PermitTest(testtools.TestCase):
+    """Guards against an attempt that runs a request after its refusal."""
+
+    def run_attempt(self, permit):
+        """Return the result of an attempt, and what its instance got."""
+        results = []
+
+        async def main():
+            with socket.create_server((builders.IP, 0)) as listener:
+                client = socket.create_connection(listener.getsockname())
+                served, _ = listener.accept()
+            stream = instance_stream.InstanceStream(sockets.Socket(client))
+            http = connections.HttpConnection(
+                httpcore.Origin(b"http", b"127.0.0.1", 9), stream
+            )
+            attempt = attempts.Attempt(
+                FakePool(connections.Connection(http, stream)),
+                INSTANCE,
+                outgoing()._replace(deadline=trio.current_time() + 60),
+                lambda instance: True,
+                permit,
+            )
+            with trio.move_on_after(0.1):
+                results.append(await attempt.run())
+            results.append(permit.refuse())
+            await attempt.close()
+            results.append(served.recv(RECEIVE_SIZE))
+            served.close()
+
+        trio.run(main)
+        return results
+
+    def test_a_refused_request_is_not_sent(self):
+        permit = run_permit.RunPermit()
+        permit.refuse()
+        result, _, received = self.run_attempt(permit)
+        self.assertIsInstance(result, outcomes.NotRun)
+        self.assertEqual(b"", received)
+
+    def test_a_request_that_was_sent_is_not_refused(self):
+        permit = run_permit.RunPermit()
+        refused, received = self.run_attempt(permit)
+        self.assertFalse(refused)
+        self.assertIn(b"POST", received)
+        self.assertFalse(permit.refuse())
+
+
 class BrokenConnectionTest(testtools.TestCase):
     def test_a_connection_that_accepted_no_byte_is_not_run(self):
         trio.run(self._check)
--- a/tests/proxy/test_promises.py
+++ b/tests/proxy/test_promises.py
@@ -115,12 +115,14 @@
         self._world = world
         self._generator = random.Random(seed)
         self._numbers = itertools.count()
+        self.refused_ids: set[str] = set()
         self._actions: list[typing.Callable] = [
             *[self._begin] * 8,
             *[self._finish] * 8,
             *[self._wait] * 4,
             *[self._freeze] * 2,
             self._evict,
+            self._refuse,
             self._disconnect,
             self._break,
         ]
@@ -185,6 +187,12 @@
         self._world.evict(self._generator.random())
         await self._finish()
 
+    async def _refuse(self) -> None:
+        """Refuse requests by their permits alone, whatever they wait for."""
+        for request_id, permit in self._world.permits():
+            if self._generator.random() < 0.5 and permit.refuse():
+                self.refused_ids.add(request_id)
+
     async def _disconnect(self) -> None:
         if self._world.callers:
             self._generator.choice(self._world.callers).close()
@@ -208,8 +216,11 @@
         statuses = []
 
         async def check(world):
-            await Play(world, seed).run()
+            play = Play(world, seed)
+            await play.run()
             self.assertEqual([], world.broken_promises(), f"seed {seed}")
+            run_ids = play.refused_ids.intersection(world.ids_run())
+            self.assertEqual(set(), run_ids, f"seed {seed}")
             bookings = [
                 run.request_id
                 for instance in world.instances
