Read the rest of an answer ahead of a caller that has paused

Cause: one limit of 3 s for a part of an answer stood for the caller's pause and for the instance's wait, as the VM held one part at a time.

Change: once a write has taken 1 s, the rest is read ahead, up to 1 MB and not while memory is pressed. Then the instance's slot is free, and the caller has until its own time limit.

The spy of one test passes on whatever arguments Caller.relay gets, as there is one more now; what it checks is the same.

--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -511,6 +511,18 @@
         for request in self._requests:
             request.permit.close()
 
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether callers may hold less than usual."""
+        return self._account.is_pressed
+
+    def hold_answer(self, size: int) -> None:
+        """Count bytes of an answer that are held; negative to release."""
+        if size > 0:
+            self._holding.charge(memory.account.Kind.ANSWER, size)
+        else:
+            self._holding.release(memory.account.Kind.ANSWER, -size)
+
     async def write(self, data: bytes) -> None:
         """Send bytes; on failure mark the caller as disconnected."""
         held = len(data)
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -7,6 +7,7 @@
 
 from primrosemill.decisions import outcomes
 from primrosemill.decisions import run_permit
+from primrosemill.proxy import answer_rest
 from primrosemill.proxy import asgi
 from primrosemill.proxy import attempts
 from primrosemill.proxy import dialects
@@ -34,6 +35,15 @@
     on_disconnect: typing.Callable[[], None] | None
     on_evict: typing.Callable[[], None] | None
 
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether callers may hold less than usual."""
+        ...
+
+    def hold_answer(self, size: int) -> None:
+        """Count bytes of an answer that are held; negative to release."""
+        ...
+
     @property
     def discards(self) -> memory.large_transfers.Places:
         """Return the places of callers whose uploads are read and dropped."""
@@ -84,10 +94,15 @@
         # Bytes of the answer's body that were passed on.
         self.relayed = 0
         self._relay_deadline = math.inf
+        self._time_limit = -math.inf
 
     def attach(self, scope: trio.CancelScope) -> None:
-        """Cancel the scope if the caller disconnects."""
+        """Cancel the scope if the caller disconnects.
+
+        Its deadline is the caller's time limit.
+        """
         self._scope = scope
+        self._time_limit = scope.deadline
         self._connection.on_disconnect = self._on_disconnect
         self._connection.on_evict = self._on_evict
         if self._connection.disconnected:
@@ -107,9 +122,16 @@
         await self._connection.wait_for_turn()
 
     async def relay(
-        self, answer: attempts.Answer, attempt: attempts.Attempt
+        self,
+        answer: attempts.Answer,
+        attempt: attempts.Attempt,
+        on_end: answer_rest.OnEnd | None = None,
     ) -> outcomes.Unknown | None:
-        """Relay an answer; return why it broke off, or None if complete."""
+        """Relay an answer; return why it broke off, or None if complete.
+
+        ``on_end`` is called if the attempt was read to its end before the
+        caller has read it.
+        """
         self.started = True
         self._connection.permit.close()
         self._relay_deadline = (
@@ -124,21 +146,49 @@
         if answer.complete:
             await self._finish(answer.buffered)
             return None
-        return await self._relay_chunks(answer.buffered, attempt)
+        rest = answer_rest.AnswerRest(attempt, self._connection, on_end)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._read_ahead, rest)
+                failure = await self._relay_parts(answer.buffered, rest)
+                nursery.cancel_scope.cancel()
+        finally:
+            rest.release()
+        return failure
 
-    async def _relay_chunks(
-        self, buffered: bytes, attempt: attempts.Attempt
+    async def _read_ahead(self, rest: answer_rest.AnswerRest) -> None:
+        """Read ahead of a slow caller, who then has its own time limit."""
+        await rest.read_ahead()
+        if self._scope is not None:
+            self._scope.deadline = max(
+                self._scope.deadline,
+                min(self._time_limit, self._relay_deadline),
+            )
+
+    async def _relay_parts(
+        self, buffered: bytes, rest: answer_rest.AnswerRest
     ) -> outcomes.Unknown | None:
-        chunk: bytes | outcomes.Unknown | None = buffered
-        while isinstance(chunk, bytes):
-            self.relayed += len(chunk)
-            self._extend_deadline(self._dialect.max_write_stall)
-            await self._send(asgi.body_message(chunk, True))
+        part: answer_rest.Part = buffered
+        while isinstance(part, bytes):
+            self.relayed += len(part)
+            self._extend_deadline(self._write_time(rest))
+            rest.begin_write()
+            await self._send(asgi.body_message(part, True))
             self._extend_deadline()
-            chunk = await attempt.next_chunk()
-        if chunk is None:
+            part = await rest.next_part()
+        if part is None:
             await self._finish(b"")
-        return chunk
+        return part
+
+    def _write_time(self, rest: answer_rest.AnswerRest) -> float:
+        """Return the seconds that a part may stay unread.
+
+        An instance that still sends must not wait for a slow caller.
+        """
+        stall = self._dialect.max_write_stall
+        if not rest.ended:
+            return stall
+        return max(stall, self._time_limit - trio.current_time())
 
     async def refuse(self, refused: request_policies.Refused) -> None:
         """Answer that the request was not run, why, and when to retry.
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -534,7 +534,14 @@
             # Free the slot first: a slow caller must not keep it occupied.
             tracked.delivered = True
             await self._finish(tracked)
-        relay_failure = await self._caller.relay(answer, tracked.attempt)
+
+        async def finish_early() -> None:
+            tracked.delivered = True
+            await self._finish(tracked)
+
+        relay_failure = await self._caller.relay(
+            answer, tracked.attempt, finish_early
+        )
         tracked.delivered = True
         if relay_failure is None:
             return Relayed(answer.status)
--- a/packages/proxy/src/primrosemill/proxy/pipelining.py
+++ b/packages/proxy/src/primrosemill/proxy/pipelining.py
@@ -29,6 +29,15 @@
 
     discards: memory.large_transfers.Places
 
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether callers may hold less than usual."""
+        ...
+
+    def hold_answer(self, size: int) -> None:
+        """Count bytes of an answer that are held; negative to release."""
+        ...
+
     async def wait_for_chunk_turn(self, work: float) -> None:
         """Wait until chunks that take ``work`` seconds may be parsed.
 
@@ -97,6 +106,15 @@
         """Return the places of callers whose uploads are read and dropped."""
         return self._pipeline.discards
 
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether callers may hold less than usual."""
+        return self._pipeline.is_pressed
+
+    def hold_answer(self, size: int) -> None:
+        """Count bytes of an answer that are held; negative to release."""
+        self._pipeline.hold_answer(size)
+
     def claim_close(self) -> bool:
         """Return whether the connection may close after this answer.
 
--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -144,9 +144,9 @@
         caller.begin(request_id, data, len(data) if size < 0 else size)
         return caller
 
-    def connect(self) -> "Caller":
-        """Open a caller's connection."""
-        caller = Caller(self.port)
+    def connect(self, receive_buffer: int = 0) -> "Caller":
+        """Open a caller's connection; bytes that its kernel holds if given."""
+        caller = Caller(self.port, receive_buffer)
         self.callers.append(caller)
         return caller
 
@@ -227,8 +227,13 @@
 class Caller:
     """A connection whose sends never wait."""
 
-    def __init__(self, port: int) -> None:
-        self._socket = socket.create_connection((path.IP, port))
+    def __init__(self, port: int, receive_buffer: int = 0) -> None:
+        self._socket = socket.socket()
+        if receive_buffer:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+            )
+        self._socket.connect((path.IP, port))
         self._socket.setblocking(False)
         self._received = b""
         self._unsent = b""
--- a/tests/proxy/test_outcomes.py
+++ b/tests/proxy/test_outcomes.py
@@ -408,9 +408,9 @@
         ends_before = []
         relay = callers.Caller.relay
 
-        async def spy(caller, answer, attempt):
+        async def spy(*arguments):
             ends_before.append(len(self.observer.ends))
-            return await relay(caller, answer, attempt)
+            return await relay(*arguments)
 
         async def check(path, instances):
             await builders.call(path, builders.IDEMPOTENT_PATH)
