--- a/packages/proxy/src/primrosemill/proxy/answer_rest.py
+++ b/packages/proxy/src/primrosemill/proxy/answer_rest.py
@@ -41,9 +41,9 @@
 
 
 class AnswerRest:
-    """The rest of one answer; ``ended`` once all of it was read.
+    """The rest of one answer; ``ended`` once no more of it comes.
 
-    ``on_end`` is called then, if it was read ahead.
+    ``on_end`` is called if it was read ahead to its proper end.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
             self.ended = not isinstance(part, bytes)
             if isinstance(part, bytes):
                 self._hold(len(part))
-            elif self._on_end is not None:
+            elif part is None and self._on_end is not None:
                 await self._on_end()
             self._changed.unpark_all()
 
--- a/packages/proxy/src/primrosemill/proxy/daemon.py
+++ b/packages/proxy/src/primrosemill/proxy/daemon.py
@@ -27,6 +27,7 @@
 from primrosemill.proxy import detection
 from primrosemill.proxy import directory
 from primrosemill.proxy import garbage_collection
+from primrosemill.proxy import pause_log
 from primrosemill.proxy import peers
 from primrosemill.proxy import request_guard
 from primrosemill.proxy import request_policies
@@ -135,6 +136,7 @@
         Callers are served, and the ports reported, once a configuration is
         in force; the admin port answers from the start.
         """
+        pause_log.start()
         with self._scope:
             async with trio.open_nursery() as nursery:
                 ip = self._settings.ip
--- a/tests/proxy/test_slow_readers.py
+++ b/tests/proxy/test_slow_readers.py
@@ -1,7 +1,10 @@
 """Tests of callers that stop reading a large answer for a while."""
 
 import testtools
+import trio
+import trio.testing
 
+from primrosemill.decisions import outcomes
 from primrosemill.proxy import answer_rest
 from tests.builders import frozen_vms as builders
 
@@ -11,6 +14,60 @@
 TIME_LIMIT = 4_648  # milliseconds
 
 
+class Source:
+    """An answer whose parts have all arrived."""
+
+    def __init__(self, *parts):
+        self._parts = list(parts)
+
+    async def next_chunk(self):
+        await trio.lowlevel.checkpoint()
+        return self._parts.pop(0)
+
+
+class Memory:
+    """Counts what is held."""
+
+    is_pressed = False
+    held = 0
+
+    def hold_answer(self, size):
+        self.held += size
+
+
+class AnswerRestTest(testtools.TestCase):
+    """Guards against an answer that is taken for whole, or held for good."""
+
+    def read(self, *parts):
+        """Return what was read, whether its end was told, and the memory."""
+        read, ends, memory = [], [], Memory()
+
+        async def main():
+            async def end():
+                ends.append(True)
+
+            rest = answer_rest.AnswerRest(Source(*parts), memory, end)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(rest.read_ahead)
+                rest.begin_write()
+                await trio.sleep(2 * answer_rest.STALL_TIME)
+                while not read or isinstance(read[-1], bytes):
+                    read.append(await rest.next_part())
+            rest.release()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return read, bool(ends), memory.held
+
+    def test_the_end_is_told_of_a_whole_answer(self):
+        result = self.read(b"a", b"b", None)
+        self.assertEqual(([b"a", b"b", None], True, 0), result)
+
+    def test_the_end_is_not_told_of_one_that_broke_off(self):
+        cut = outcomes.Unknown(outcomes.UnknownReason.TRUNCATED)
+        result = self.read(b"a", cut)
+        self.assertEqual(([b"a", cut], False, 0), result)
+
+
 class SlowReaderTest(testtools.TestCase):
     """Guards against an answer that is broken off within its time limit.
 
