Judge a body that always has unread bytes by what the socket can hold

Now the receive buffer counts as received. An answer that is read too slowly is judged by its age, too, though the socket takes bytes.

--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -605,21 +605,30 @@
                 self.reset()
             return
         phase, age, stalled = self.describe_wait(now)
-        if phase is memory.eviction.Phase.BODY and self._awaits_caller():
-            if stalled < MAX_STALL + UNREAD_TIME and (
-                self._socket.is_readable()
-            ):
-                return
-            too_slow = age > SLOW_TIME and self._body_size < MIN_RATE * age
-            if stalled > MAX_STALL or too_slow:
+        if phase is memory.eviction.Phase.BODY:
+            if self._awaits_caller() and self._is_slow_body(age, stalled):
                 self._account.count(memory.account.Cause.SLOW_BODY)
                 self.evict()
         elif phase is memory.eviction.Phase.READER and (
-            stalled > MAX_STALL or age > SLOW_TIME
+            self._is_slow_reader(age, stalled)
         ):
-            if stalled < MAX_STALL + UNREAD_TIME and (
-                self._socket.is_writable()
-            ):
-                return
             self._account.count(memory.account.Cause.SLOW_READER)
             self.reset()
+
+    def _is_slow_body(self, age: float, stalled: float) -> bool:
+        """Return whether a body is too slow, with what may be unread of it."""
+        is_slow = age > SLOW_TIME and self._body_size < MIN_RATE * age
+        if stalled <= MAX_STALL and not is_slow:
+            return False
+        if not self._socket.is_readable():
+            return True
+        size = self._body_size + memory.sizes.RECEIVE_BUFFER
+        is_slow = age > SLOW_TIME and size < MIN_RATE * age
+        return is_slow or stalled > MAX_STALL + UNREAD_TIME
+
+    def _is_slow_reader(self, age: float, stalled: float) -> bool:
+        """Return whether an answer is read too slowly."""
+        excess = max(stalled - MAX_STALL, age - SLOW_TIME)
+        if excess <= 0.0:
+            return False
+        return excess > UNREAD_TIME or not self._socket.is_writable()
--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -66,11 +66,17 @@
         self.port = 0
 
     async def start(
-        self, nursery: trio.Nursery, count: int, slots: int, pause: float
+        self,
+        nursery: trio.Nursery,
+        count: int,
+        slots: int,
+        pause: float,
+        deadline: float,
     ) -> None:
         """Start the instances and the proxy.
 
-        Without a count, there is one instance that the test itself plays.
+        ``deadline`` is that of both routes, in seconds. Without a count, there
+        is one instance that the test itself plays.
         """
         values = []
         for number in range(count):
@@ -87,7 +93,7 @@
             instances=values,
             floor=1,
             slots=slots,
-            routes=path.route_values(5.0),
+            routes=path.route_values(deadline),
         )
         self.application.set_document(
             configuration.assembled(service).document
@@ -311,6 +317,7 @@
     slots: int = 3,
     pause: float = 0.0,
     policies: request_policies.Policies | None = None,
+    deadline: float = 5.0,
 ) -> None:
     """Run a check with a proxy whose clock moves only with the check."""
     clock = trio.testing.MockClock()
@@ -318,7 +325,7 @@
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             world = World(clock, policies)
-            await world.start(nursery, count, slots, pause)
+            await world.start(nursery, count, slots, pause, deadline)
             await check(world)
             for caller in world.callers:
                 caller.close()
--- a/tests/proxy/test_promises.py
+++ b/tests/proxy/test_promises.py
@@ -73,6 +73,21 @@
 
         builders.run(check)
 
+    def test_a_body_in_tiny_pieces_is_refused_though_bytes_are_unread(self):
+        """Guard against a caller that is never judged, as it always sends."""
+
+        async def check(world):
+            caller = world.connect()
+            data = builders.booking("b0", body=b"x" * 40_000, time_left=60_000)
+            caller.begin("b0", data, len(data) - 2_000)
+            for _ in range(900):
+                caller.send(b"x")
+                await world.advance(0.02)
+            self.assertEqual({"b0": 503}, world.statuses())
+            self.assertEqual([], world.ids_run())
+
+        builders.run(check, deadline=60.0)
+
     def test_an_upload_after_a_slow_head_is_not_refused(self):
         """Guard against a 408 while an instance reads the body."""
 
