Call what was there already for answers that are read ahead and for permits

No behaviour is meant to change, but for one log line that goes.

- What is read ahead is charged to the connection's holding, as uploads are, in place of two methods handed through three classes.
- Freeing the slot of an answer that was read is one method, and an unknown outcome after a withheld refusal is the constant that attempts use.
- The end of parsing is checked first, once; so it covers a connection that ended while it waited for its turn, which logged an IndexError, and the checks beside it go.
A refusal before the head is decided once, so the protocol need not look whether one was written.
- The awake clock takes the timeout that trio hands it; RunPermit.closed was used nowhere; callers of tests parse what they received once.

Assertions of tests are as they were.

--- a/packages/decisions/src/primrosemill/decisions/run_permit.py
+++ b/packages/decisions/src/primrosemill/decisions/run_permit.py
@@ -35,11 +35,6 @@
             return State.ENDED if may_have_run else State.NOT_RUN
         return State.SENT if may_have_run else State.OPEN
 
-    @property
-    def closed(self) -> bool:
-        """Return whether no attempt may begin any more."""
-        return self._closed
-
     def begin_attempt(self) -> bool:
         """Return whether an attempt may send its first byte now.
 
--- a/packages/fleet/src/primrosemill/fleet/awake_clock.py
+++ b/packages/fleet/src/primrosemill/fleet/awake_clock.py
@@ -68,7 +68,6 @@
 
     def __init__(self) -> None:
         self._awake = self._mark = trio.current_time()
-        self._timeout = 0.0
         self.paused = 0.0
         self.on_pause: typing.Callable[[float], None] = _ignore_pause
         self.deadlines: set[Deadline] = set()
@@ -80,14 +79,13 @@
     def before_io_wait(self, timeout: float) -> None:
         """Count the pass that ends; called by trio."""
         self._count(MAX_PASS)
-        self._timeout = timeout
 
     def after_io_wait(self, timeout: float) -> None:
         """Count the wait that ends; called by trio.
 
         trio ends deadlines right after this.
         """
-        self._count(self._timeout + MAX_PASS)
+        self._count(timeout + MAX_PASS)
 
     def _count(self, most: float) -> None:
         """Count the time since the mark, at most as much as given."""
--- a/packages/proxy/src/primrosemill/proxy/answer_rest.py
+++ b/packages/proxy/src/primrosemill/proxy/answer_rest.py
@@ -11,6 +11,7 @@
 import trio
 
 from primrosemill.decisions import outcomes
+from primrosemill.proxy import memory
 
 STALL_TIME = 1.0  # seconds of one write after which the rest is read ahead
 MAX_HELD = 1_048_576  # bytes that are read ahead of one caller
@@ -27,19 +28,6 @@
         ...
 
 
-class Memory(typing.Protocol):
-    """The memory for what is read ahead."""
-
-    @property
-    def is_pressed(self) -> bool:
-        """Return whether callers may hold less than usual."""
-        ...
-
-    def hold_answer(self, size: int) -> None:
-        """Count bytes of an answer that are held; negative to release."""
-        ...
-
-
 class AnswerRest:
     """The rest of one answer; ``ended`` once no more of it comes.
 
@@ -47,10 +35,13 @@
     """
 
     def __init__(
-        self, source: Source, memory: Memory, on_end: OnEnd | None
+        self,
+        source: Source,
+        holding: memory.account.Holding,
+        on_end: OnEnd | None,
     ) -> None:
         self._source = source
-        self._memory = memory
+        self._holding = holding
         self._on_end = on_end
         self._parts: collections.deque[Part] = collections.deque()
         self._held = 0
@@ -74,7 +65,7 @@
             await self._changed.park()
         part = self._parts.popleft()
         if isinstance(part, bytes):
-            self._hold(-len(part))
+            self._release(len(part))
             self._changed.unpark_all()
         return part
 
@@ -89,14 +80,15 @@
             self._parts.append(part)
             self.ended = not isinstance(part, bytes)
             if isinstance(part, bytes):
-                self._hold(len(part))
+                self._held += len(part)
+                self._holding.charge(memory.account.Kind.ANSWER, len(part))
             elif part is None and self._on_end is not None:
                 await self._on_end()
             self._changed.unpark_all()
 
     def release(self) -> None:
         """Count nothing as held any more."""
-        self._hold(-self._held)
+        self._release(self._held)
 
     async def _wait_for_stall(self) -> None:
         now = trio.current_time()
@@ -108,8 +100,8 @@
 
     def _limit(self) -> int:
         """Return the bytes from which on the instance has to wait."""
-        return 1 if self._memory.is_pressed else MAX_HELD
+        return 1 if self._holding.is_pressed else MAX_HELD
 
-    def _hold(self, size: int) -> None:
-        self._held += size
-        self._memory.hold_answer(size)
+    def _release(self, size: int) -> None:
+        self._held -= size
+        self._holding.release(memory.account.Kind.ANSWER, size)
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -43,7 +43,6 @@
 from primrosemill.proxy.customers import access
 
 HOUSEKEEPING_INTERVAL = 0.25  # seconds; far below the time of a cold start
-UNKNOWN_CANCELLED = outcomes.Unknown(outcomes.UnknownReason.CANCELLED)
 HEADER_OVERHEAD = 4  # bytes of a header line besides its name and value
 
 RouteLookup = routes.Match | request_policies.Refused
@@ -245,7 +244,7 @@
                 result = await self._handle_request(
                     scope, body, caller, watch, ticket, request
                 )
-            result = _check_refusal(result, connection.permit, request_id)
+            result = _check_refusal(result, caller.permit, request_id)
             await _send_result(result, caller)
             self._recorder.record_result(
                 result, request.arrived, trio.current_time(), request_id
@@ -289,7 +288,6 @@
         request: requests_in_progress.RequestInProgress,
     ) -> exchange.Result:
         now = trio.current_time()
-        permit = scope["state"][callers.CONNECTION_KEY].permit
         self.read_news()
         refused = self._refuse_early(scope)
         if refused is not None:
@@ -338,7 +336,7 @@
             self.read_news,
             request_losses.RequestLoss(),
             self._requests.stop,
-            permit,
+            caller.permit,
             self.forwarding,
             ticket is not None,
             customer,
@@ -577,7 +575,7 @@
         reason=result.reason.value,
         state=permit.state.value,
     )
-    return UNKNOWN_CANCELLED
+    return tracked_attempts.CANCELLED
 
 
 async def _send_result(
--- a/packages/proxy/src/primrosemill/proxy/caller_connection.py
+++ b/packages/proxy/src/primrosemill/proxy/caller_connection.py
@@ -130,7 +130,7 @@
         self._partial_head_since: float | None = None
         self._add_request()
         # The account may ask at once what this connection waits for.
-        self._holding = account.add(self, sock.address)
+        self.holding = account.add(self, sock.address)
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -163,14 +163,14 @@
             self._handle_failure(error)
         finally:
             self._linger_scope.cancel()
-            self._close_permits()
+            self._give_up()
             await self._discard_requests()
             if self.idle_since is None and not self._finished:
                 # A request is in progress: its answer is not complete.
                 self._socket.reset()
             self._socket.shutdown_write()
             self._socket.close()
-            self._holding.close()
+            self.holding.close()
 
     async def _receive(self) -> bytes:
         """Receive bytes, less often while they come in small pieces."""
@@ -200,14 +200,14 @@
     async def _wait_for_space(self) -> None:
         """Wait while the bytes read ahead exceed their limit."""
         while len(self._unparsed) > MAX_READ_AHEAD:
-            self._holding.set(
+            self.holding.set(
                 memory.account.Kind.READ_AHEAD,
                 len(self._unparsed) + memory.sizes.RECEIVE_BUFFER,
             )
             if self._finished or self._socket.closed:
                 return
             await self._space_freed.park()
-        self._holding.set(memory.account.Kind.READ_AHEAD, len(self._unparsed))
+        self.holding.set(memory.account.Kind.READ_AHEAD, len(self._unparsed))
 
     async def _parse_requests(self) -> None:
         """Parse as many requests from the received bytes as allowed."""
@@ -223,6 +223,9 @@
 
     async def _parse_next(self) -> bool:
         """Pass received bytes to a request; return whether to continue."""
+        if self._parsing_ended:
+            self._unparsed.clear()
+            return False
         request = self._requests[-1]
         if request.protocol.complete:
             if request.protocol.is_last or self._is_closing():
@@ -231,9 +234,6 @@
             if len(self._requests) >= self._request_limit():
                 return False
             request = self._add_request()
-        if self._parsing_ended:
-            self._unparsed.clear()
-            return False
         if request.protocol.has_head:
             data = bytes(self._unparsed)
             self._unparsed.clear()
@@ -254,14 +254,14 @@
         Raises ParsingEndedError if they are not read any more.
         """
         size = self._parsed_size
-        self._holding.charge(memory.account.Kind.PARSING, size)
+        self.holding.charge(memory.account.Kind.PARSING, size)
         try:
             with trio.CancelScope() as self._turn_scope:
                 if not self._finished and not self._socket.closed:
                     await self._account.heavy_chunks.wait_for_turn(work)
                     return
         finally:
-            self._holding.release(memory.account.Kind.PARSING, size)
+            self.holding.release(memory.account.Kind.PARSING, size)
         raise ParsingEndedError
 
     async def _wait_for_heavy_head(
@@ -288,7 +288,7 @@
                 await trio.sleep(REFUSAL_PAUSE)
                 await request.protocol.refuse(STATUS_UNAVAILABLE)
             return False
-        return not self._parsing_ended and not self._socket.closed
+        return not self._parsing_ended
 
     def _request_limit(self) -> int:
         """Return how many requests may be read before they are answered."""
@@ -298,11 +298,7 @@
 
     def _is_closing(self) -> bool:
         """Return whether no request is accepted after the current last one."""
-        return (
-            self._closing
-            or self._parsing_ended
-            or self._context.terminated.is_set()
-        )
+        return self._closing or self._context.terminated.is_set()
 
     def _add_request(self) -> pipelining.PipelinedRequest:
         request = pipelining.PipelinedRequest(
@@ -367,7 +363,7 @@
             pass
         except Exception as error:
             self._handle_failure(error)
-        self._holding.set(memory.account.Kind.READ_AHEAD, len(self._unparsed))
+        self.holding.set(memory.account.Kind.READ_AHEAD, len(self._unparsed))
         self._space_freed.unpark_all()
 
     def close_after_answer(self) -> None:
@@ -413,10 +409,10 @@
         send: asgi.Send,
     ) -> typing.Callable[[asgi.Message], typing.Awaitable[None]]:
         """Start the application for one request; called by hypercorn."""
-        messages = inbox.Inbox(MAX_QUEUED_MESSAGES, self._holding)
+        messages = inbox.Inbox(MAX_QUEUED_MESSAGES, self.holding)
         scope["state"][callers.CONNECTION_KEY].messages = messages
         cost = memory.sizes.head_cost(len(scope["headers"]))
-        self._holding.charge(memory.account.Kind.HEAD, cost)
+        self.holding.charge(memory.account.Kind.HEAD, cost)
         self._nursery.start_soon(self._handle, scope, messages, send, cost)
         return messages.put
 
@@ -436,7 +432,7 @@
             messages.close()
             self._handle_failure(error)
         finally:
-            self._holding.release(memory.account.Kind.HEAD, cost)
+            self.holding.release(memory.account.Kind.HEAD, cost)
 
     def _handle_failure(self, error: Exception) -> None:
         """Report a fault of the proxy and reset only this connection."""
@@ -511,24 +507,12 @@
         for request in self._requests:
             request.permit.close()
 
-    @property
-    def is_pressed(self) -> bool:
-        """Return whether callers may hold less than usual."""
-        return self._account.is_pressed
-
-    def hold_answer(self, size: int) -> None:
-        """Count bytes of an answer that are held; negative to release."""
-        if size > 0:
-            self._holding.charge(memory.account.Kind.ANSWER, size)
-        else:
-            self._holding.release(memory.account.Kind.ANSWER, -size)
-
     async def write(self, data: bytes) -> None:
         """Send bytes; on failure mark the caller as disconnected."""
         held = len(data)
         if held > sockets.YIELD_THRESHOLD:
             held += memory.sizes.SEND_BUFFER
-        self._holding.charge(memory.account.Kind.ANSWER, held)
+        self.holding.charge(memory.account.Kind.ANSWER, held)
         self._write_since = self._clock.current_time()
         self._write_progress_at = self._write_since
         try:
@@ -545,7 +529,7 @@
             self._space_freed.unpark_all()
         finally:
             self._write_since = None
-            self._holding.release(memory.account.Kind.ANSWER, held)
+            self.holding.release(memory.account.Kind.ANSWER, held)
 
     def describe_wait(
         self, now: float
@@ -584,7 +568,7 @@
         self._closing = True
         self._close_permits()
         if self.idle_since is not None or self._finished:
-            self._give_up()
+            self._end_parsing()
             self._socket.close()
             self._space_freed.unpark_all()
             return
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -36,12 +36,8 @@
     on_evict: typing.Callable[[], None] | None
 
     @property
-    def is_pressed(self) -> bool:
-        """Return whether callers may hold less than usual."""
-        ...
-
-    def hold_answer(self, size: int) -> None:
-        """Count bytes of an answer that are held; negative to release."""
+    def holding(self) -> memory.account.Holding:
+        """Return what the connection holds."""
         ...
 
     @property
@@ -96,6 +92,11 @@
         self._relay_deadline = math.inf
         self._time_limit = -math.inf
 
+    @property
+    def permit(self) -> run_permit.RunPermit:
+        """Return the permit of the request."""
+        return self._connection.permit
+
     def attach(self, scope: trio.CancelScope) -> None:
         """Cancel the scope if the caller disconnects.
 
@@ -133,7 +134,7 @@
         caller has read it.
         """
         self.started = True
-        self._connection.permit.close()
+        self.permit.close()
         self._relay_deadline = (
             trio.current_time() + self._dialect.max_relay_time
         )
@@ -146,7 +147,9 @@
         if answer.complete:
             await self._finish(answer.buffered)
             return None
-        rest = answer_rest.AnswerRest(attempt, self._connection, on_end)
+        rest = answer_rest.AnswerRest(
+            attempt, self._connection.holding, on_end
+        )
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_ahead, rest)
@@ -214,7 +217,7 @@
 
     async def send_unknown(self, unknown: outcomes.Unknown) -> None:
         """Answer that it is unknown whether the request was run."""
-        self._connection.permit.close()
+        self.permit.close()
         status = STATUS_BY_UNKNOWN.get(unknown.reason, STATUS_BAD_GATEWAY)
         await self._send_empty_answer(
             status,
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -4,6 +4,7 @@
 one hedge (a second, parallel attempt) at a time.
 """
 
+import functools
 import typing
 
 import trio
@@ -531,16 +532,11 @@
         self, tracked: tracked_attempts.TrackedAttempt, answer: attempts.Answer
     ) -> Relayed | Aborted:
         if answer.complete:
-            # Free the slot first: a slow caller must not keep it occupied.
-            tracked.delivered = True
-            await self._finish(tracked)
-
-        async def finish_early() -> None:
-            tracked.delivered = True
-            await self._finish(tracked)
-
+            await self._finish_read(tracked)
         relay_failure = await self._caller.relay(
-            answer, tracked.attempt, finish_early
+            answer,
+            tracked.attempt,
+            functools.partial(self._finish_read, tracked),
         )
         tracked.delivered = True
         if relay_failure is None:
@@ -549,6 +545,16 @@
         self._caller.abort()
         return Aborted(relay_failure.reason)
 
+    async def _finish_read(
+        self, tracked: tracked_attempts.TrackedAttempt
+    ) -> None:
+        """Free the slot of an attempt whose answer was read to its end.
+
+        A slow caller must not keep it occupied.
+        """
+        tracked.delivered = True
+        await self._finish(tracked)
+
     async def _finish_all(self) -> None:
         while self._in_flight:
             await self._finish(self._in_flight[-1])
--- a/packages/proxy/src/primrosemill/proxy/http1.py
+++ b/packages/proxy/src/primrosemill/proxy/http1.py
@@ -147,8 +147,6 @@
 
         The request's permit must have allowed it.
         """
-        if self.connection.our_state not in ANSWERABLE_STATES:
-            return
         await self._send_error_response(status)
         await self.send(hypercorn.events.Closed())
 
--- a/packages/proxy/src/primrosemill/proxy/memory/account.py
+++ b/packages/proxy/src/primrosemill/proxy/memory/account.py
@@ -98,6 +98,11 @@
         self._held_by_kind: dict[Kind, int] = dict.fromkeys(Kind, 0)
         self.closed = False
 
+    @property
+    def is_pressed(self) -> bool:
+        """Return whether callers may hold less than usual."""
+        return self._account.is_pressed
+
     def charge(self, kind: Kind, size: int) -> None:
         """Count bytes that are held from now on."""
         if self.closed or not size:
--- a/packages/proxy/src/primrosemill/proxy/pipelining.py
+++ b/packages/proxy/src/primrosemill/proxy/pipelining.py
@@ -28,15 +28,7 @@
     """The connection that carries pipelined requests."""
 
     discards: memory.large_transfers.Places
-
-    @property
-    def is_pressed(self) -> bool:
-        """Return whether callers may hold less than usual."""
-        ...
-
-    def hold_answer(self, size: int) -> None:
-        """Count bytes of an answer that are held; negative to release."""
-        ...
+    holding: memory.account.Holding
 
     async def wait_for_chunk_turn(self, work: float) -> None:
         """Wait until chunks that take ``work`` seconds may be parsed.
@@ -107,13 +99,9 @@
         return self._pipeline.discards
 
     @property
-    def is_pressed(self) -> bool:
-        """Return whether callers may hold less than usual."""
-        return self._pipeline.is_pressed
-
-    def hold_answer(self, size: int) -> None:
-        """Count bytes of an answer that are held; negative to release."""
-        self._pipeline.hold_answer(size)
+    def holding(self) -> memory.account.Holding:
+        """Return what the connection holds."""
+        return self._pipeline.holding
 
     def claim_close(self) -> bool:
         """Return whether the connection may close after this answer.
--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -141,9 +141,8 @@
         self, data: bytes, caller: "Caller | None" = None, size: int = -1
     ) -> "Caller":
         """Begin a request, whole unless a size is given."""
-        request_id = pipelines.find_id(data)
         caller = caller or self.connect()
-        caller.begin(request_id, data, len(data) if size < 0 else size)
+        caller.begin(data, len(data) if size < 0 else size)
         return caller
 
     def connect(self, receive_buffer: int = 0) -> "Caller":
@@ -241,9 +240,9 @@
         self._unsent = b""
         self.ids: list[str] = []
 
-    def begin(self, request_id: str, data: bytes, size: int) -> None:
+    def begin(self, data: bytes, size: int) -> None:
         """Send the first bytes of a request."""
-        self.ids.append(request_id)
+        self.ids.append(pipelines.find_id(data))
         self._unsent = self.send(data[:size]) + data[size:]
 
     def finish(self) -> None:
@@ -257,7 +256,7 @@
 
     def close(self) -> None:
         """Disconnect."""
-        self.statuses()
+        self.answers()
         self._unsent = b""
         self._socket.close()
 
@@ -266,24 +265,20 @@
 
         Answers come in the order of the requests.
         """
-        with contextlib.suppress(OSError):
-            while data := self._socket.recv(65_536):
-                self._received += data
-        answers = pipelines.parse(self._received)
         return {
             request_id: answer.status
-            for request_id, answer in zip(self.ids, answers, strict=False)
+            for request_id, answer in zip(
+                self.ids, self.answers(), strict=False
+            )
         }
 
     def answers(self) -> list[pipelines.Answer]:
-        """Return the complete answers that have arrived."""
-        self.statuses()
+        """Read what has arrived, and return the complete answers."""
+        with contextlib.suppress(OSError):
+            while data := self._socket.recv(65_536):
+                self._received += data
         return pipelines.parse(self._received)
 
-    def count_answers(self) -> int:
-        """Return how many answers have arrived."""
-        return len(self.answers())
-
     def send(self, data: bytes) -> bytes:
         """Send bytes; return those that the kernel doesn't take.
 
--- a/tests/proxy/test_promises.py
+++ b/tests/proxy/test_promises.py
@@ -26,7 +26,7 @@
         for _ in range(HEADS):
             request_id = next(ids)
             data = builders.booking(request_id, body=BODY, time_left=7_000)
-            world.connect().begin(request_id, data, builders.HEAD_PART)
+            world.connect().begin(data, builders.HEAD_PART)
         await world.advance(seconds)
 
     def test_heads_that_arrive_during_a_freeze_are_served(self):
@@ -54,7 +54,7 @@
                     caller.finish()
                     await world.freeze(0.05)
                 self.assertEqual([], world.broken_promises())
-                counts = [each.count_answers() for each in world.callers]
+                counts = [len(each.answers()) for each in world.callers]
                 self.assertEqual([1] * HEADS, counts)
                 seen.update(world.statuses().values())
             self.assertEqual({200, 408}, seen)
@@ -64,7 +64,7 @@
     def test_a_head_that_never_ends_is_refused(self):
         async def check(world):
             caller = world.connect()
-            caller.begin("b0", builders.booking("b0"), builders.HEAD_PART)
+            caller.begin(builders.booking("b0"), builders.HEAD_PART)
             await world.advance(builders.HEAD_TIMEOUT + 1.1)
             self.assertEqual({"b0": 408}, world.statuses())
             caller.finish()
@@ -79,7 +79,7 @@
         async def check(world):
             caller = world.connect()
             data = builders.booking("b0", body=b"x" * 40_000, time_left=60_000)
-            caller.begin("b0", data, len(data) - 2_000)
+            caller.begin(data, len(data) - 2_000)
             for _ in range(900):
                 caller.send(b"x")
                 await world.advance(0.02)
@@ -94,7 +94,7 @@
         async def check(world):
             caller = world.connect()
             data = builders.booking("b0", body=b"x" * 900_000)
-            caller.begin("b0", data, builders.HEAD_PART)
+            caller.begin(data, builders.HEAD_PART)
             await world.advance(1.0)
             caller.finish()
             for _ in range(60):
@@ -110,7 +110,7 @@
             body = b"y" * 50_000
             caller = world.connect()
             data = builders.booking("b0", time_left=500)
-            caller.begin("b0", data, len(data))
+            caller.begin(data, len(data))
             await world.advance(0.2)
             self.assertIn(b"b0", world.played.read())
             world.played.answer("b0", body)
@@ -182,7 +182,7 @@
         size = self._generator.choice(
             [len(data), self._generator.randrange(1, len(data))]
         )
-        caller.begin(request_id, data, size)
+        caller.begin(data, size)
 
     async def _finish(self) -> None:
         for caller in self._world.callers:
--- a/tests/proxy/test_slow_readers.py
+++ b/tests/proxy/test_slow_readers.py
@@ -6,8 +6,10 @@
 
 from primrosemill.decisions import outcomes
 from primrosemill.proxy import answer_rest
+from primrosemill.proxy import memory
 from tests.builders import frozen_vms as builders
 
+ANSWER = memory.account.Kind.ANSWER
 RECEIVE_BUFFER = 8_192  # bytes
 BODY = b"t" * 540_000
 STALL = 3.4  # seconds
@@ -25,28 +27,20 @@
         return self._parts.pop(0)
 
 
-class Memory:
-    """Counts what is held."""
-
-    is_pressed = False
-    held = 0
-
-    def hold_answer(self, size):
-        self.held += size
-
-
 class AnswerRestTest(testtools.TestCase):
     """Guards against an answer that is taken for whole, or held for good."""
 
     def read(self, *parts):
-        """Return what was read, whether its end was told, and the memory."""
-        read, ends, memory = [], [], Memory()
+        """Return what was read, whether its end was told, and what is held."""
+        read, ends, account = [], [], memory.account.Account()
 
         async def main():
             async def end():
                 ends.append(True)
 
-            rest = answer_rest.AnswerRest(Source(*parts), memory, end)
+            holding = account.add(None, "10.0.0.1")
+
+            rest = answer_rest.AnswerRest(Source(*parts), holding, end)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(rest.read_ahead)
                 rest.begin_write()
@@ -56,7 +50,7 @@
             rest.release()
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-        return read, bool(ends), memory.held
+        return read, bool(ends), account.held_by_kind[ANSWER]
 
     def test_the_end_is_told_of_a_whole_answer(self):
         result = self.read(b"a", b"b", None)
