--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,94 +1,137 @@
-"""All machines lose power; three of them, the seeds, stay without."""
+"""One machine is left after a loss of power; a configuration follows."""
 
 import asyncio
 import os
-import random
 
 from common3 import deployment as deployments
 
 ZONES = ("zone-a", "zone-b", "zone-c")
-MACHINES = 13
-SEEDS = 3
-CALM_TIME = 10.0  # seconds of traffic before the loss of power
-DARK_TIME = 1.0  # seconds
-WATCHED_TIME = 20.0  # seconds after the machines are back
-RATE, BURST = 10, 10  # of the tenant's usage cap
-SENT_RATE = 45  # requests per second
-WINDOW, OVERSHOOT, SLACK = 5, 0.25, 20
-ALLOWED = (RATE * WINDOW + BURST) * (1 + OVERSHOOT) + SLACK
-KEY = "key-of-the-tenant"
-TENANT = {
-    "name": "tenant-1",
-    "api_keys": [KEY],
-    "priority": 1,
-    "rate_per_s": RATE,
-    "burst": BURST,
+MACHINES = 12
+SETTLE_TIME = 8.0  # seconds of calm before the disruption
+APPLY_TIME = 2.0  # config_apply_ms and drain_ms, in seconds
+DARK_TIME = 3.5  # seconds without power
+LEAVING_TIME = 0.3  # seconds that an instance serves beyond drain_ms
+WATCHED_TIME = 7.0  # seconds after the acknowledgement
+SERVICES = ["old", "new", "desk"]
+ROUTES = {
+    service: [
+        deployments.route("lookup", "/lookup/", service),
+        deployments.route("book", "/book/", "desk", "non_idempotent"),
+    ]
+    for service in ("old", "new")
 }
 
 
-async def send_traffic(deployment, machines, seconds):
-    """Send the tenant's requests to machines at random."""
-    headers = [("Authorization", f"Token {KEY}")]
-    end = deployment.record.now() + seconds
+def choose_survivor(deployment):
+    """Return a machine that does not watch the store."""
+    watches = deployment.store.watches
+    others = [
+        machine for machine in deployment.machines if not watches[machine.name]
+    ]
+    return others[0]
+
+
+async def ask(deployment, machine, end):
+    """Send look-ups to a machine; return their outcomes."""
+    outcomes = []
+    while deployment.record.now() < end:
+        outcomes.append(await deployment.request(machine, "/lookup/x"))
+        await asyncio.sleep(0.05)
+    return outcomes
+
+
+async def book(deployment, machine, begin, end):
+    """Send bookings to a machine after a quiet time."""
+    await asyncio.sleep(begin - deployment.record.now())
     tasks = []
     while deployment.record.now() < end:
-        request = deployment.request(
-            random.choice(machines), "/a/x", headers=headers
-        )
+        request = deployment.request(machine, "/book/x", "POST", body=b"1")
         tasks.append(asyncio.ensure_future(request))
-        await asyncio.sleep(random.expovariate(SENT_RATE))
-    await asyncio.gather(*tasks)
+        await asyncio.sleep(0.05)
+    return await asyncio.gather(*tasks)
 
 
-def find_fullest_window(deployment):
-    """Return the most requests that ran in a window, and its start."""
-    times = sorted(
-        run.at for instance in deployment.instances for run in instance.runs
-    )
-    most, begin, first = 0, 0.0, 0
-    for last, time in enumerate(times):
-        while times[first] < time - WINDOW:
-            first += 1
-        if last - first + 1 > most:
-            most, begin = last - first + 1, times[first]
-    return most, begin
+async def end_later(instance):
+    """End an instance that is draining."""
+    await asyncio.sleep(APPLY_TIME + LEAVING_TIME)
+    instance.end()
+
+
+async def lose_power(machines):
+    """Take the power of machines for a time."""
+    for machine in machines:
+        machine.kill()
+    await asyncio.sleep(DARK_TIME)
+    for machine in machines:
+        machine.start()
+
+
+def count_late(deployment, outcomes, ack):
+    """Return the look-ups that the old service ran too late."""
+    sent_by_id = {outcome.id: outcome.sent for outcome in outcomes}
+    late = []
+    for instance in deployment.instances:
+        if instance.service != "old":
+            continue
+        for run in instance.runs:
+            sent = sent_by_id.get(run.request_id)
+            if sent is not None and sent > ack + APPLY_TIME:
+                late.append(sent - ack)
+    return late
 
 
 async def play(deployment):
-    """Return whether the tenant ran more than its usage cap allows."""
+    """Return whether a look-up was handled by an outdated version."""
     say = deployment.record.say
-    await deployment.add_machines(
-        MACHINES,
-        ZONES,
-        SEEDS,
-        strict_revoke=True,
-        revoke_ms=5000,
-        quota_window_s=WINDOW,
-        quota_overshoot=OVERSHOOT,
-        quota_slack=SLACK,
-    )
-    for zone in ZONES:
-        await deployment.add_instance("service", zone, work=0.01)
-    routes = [deployments.route("a", "/a/", "service")]
-    deployment.publish(routes, ["service"], [TENANT])
+    await deployment.add_machines(MACHINES, ZONES)
+    for service in ("old", "new"):
+        for zone in ZONES:
+            await deployment.add_instance(service, zone)
+    desks = [
+        await deployment.add_instance("desk", ZONES[0], work=0.3)
+        for _ in range(2)
+    ]
+    deployment.publish(ROUTES["old"], SERVICES)
     for machine in deployment.machines:
         machine.start()
     await deployment.wait_until_ready(deployment.machines)
-    used = deployment.machines[SEEDS:]
-    await send_traffic(deployment, used, CALM_TIME)
-    for machine in deployment.machines:
-        machine.kill()
-    await asyncio.sleep(DARK_TIME)
-    back = used if deployments.is_troubled() else deployment.machines
-    for machine in back:
-        machine.start()
-    await deployment.wait_until_ready(back)
-    say(f"{len(back)} machines are back at {deployment.record.now():.3f}")
-    await send_traffic(deployment, used, WATCHED_TIME)
-    most, begin = find_fullest_window(deployment)
-    say(f"{most} requests ran in {WINDOW} s from {begin:.3f} on")
-    say(f"the tenant's usage cap allows {ALLOWED:g}")
-    return most > ALLOWED
+    await asyncio.sleep(SETTLE_TIME)
+    survivor = choose_survivor(deployment)
+    others = [each for each in deployment.machines if each is not survivor]
+    power = None
+    if deployments.is_troubled():
+        power = asyncio.ensure_future(lose_power(others))
+        await asyncio.sleep(0.1)
+    desks[0].drain()
+    ack = deployment.publish(ROUTES["new"], SERVICES)
+    ending = asyncio.ensure_future(end_later(desks[0]))
+    say(f"version acknowledged at {ack:.3f}; {survivor.name} is watched")
+    end = ack + WATCHED_TIME
+    outcomes, bookings = await asyncio.gather(
+        ask(deployment, survivor, end),
+        book(deployment, survivor, ack + APPLY_TIME + 0.05, end),
+    )
+    await ending
+    if power is not None:
+        await power
+    late = count_late(deployment, outcomes, ack)
+    if late:
+        say(
+            f"CONFIG: {len(late)} look-ups sent {min(late):.2f} to "
+            f"{max(late):.2f} s after the ack were run by the old service"
+        )
+    sent_by_id = {outcome.id: outcome.sent for outcome in bookings}
+    drained = [
+        run
+        for run in desks[0].arrivals
+        if sent_by_id.get(run.request_id, 0.0) > ack + APPLY_TIME
+    ]
+    lost = sum(not run.answered for run in desks[0].runs)
+    say(
+        f"besides: {len(drained)} bookings reached the draining instance "
+        f"after drain_ms; it ended while at work on {lost}"
+    )
+    return bool(late)
 
 
 deployments.run(play, os.path.dirname(os.path.abspath(__file__)))
