Requests: the deadline of a route holds for the whole answer

Cause: the deadline of the request's cancel scope was set anew by each place that relayed a part (10 s after the answer's start, 60 s after a part, 3 s for one unread), and none looked at the route's time again. Nothing told whether the caller waited for the instance or for itself.

Evidence: in virtual time, answers without length, in chunks, stalled, a byte at a time, with trailers, beside a shorter configuration and a planned stop all ended 10.2 s after the request began, whatever their pace; so the start of the answer replaces the deadline, and the caller's reading does not move it.

Ruled out: a shorter relay time, which would still add to the time before, and cut callers that read slowly what was held for them.

--- a/packages/proxy/src/primrosemill/proxy/answer_rest.py
+++ b/packages/proxy/src/primrosemill/proxy/answer_rest.py
@@ -14,6 +14,9 @@
 from primrosemill.proxy import memory
 
 STALL_TIME = 1.0  # seconds of one write after which the rest is read ahead
+# So long before the time limit, a write that lasts is taken for a stall: what
+# has arrived of the answer by then must be held here.
+LAST_READ_TIME = 0.1  # seconds
 MAX_HELD = 1_048_576  # bytes that are read ahead of one caller
 # A part of an answer, why it broke off, or None at its end.
 Part = bytes | outcomes.Unknown | None
@@ -31,17 +34,20 @@
 class AnswerRest:
     """The rest of one answer; ``ended`` once no more of it comes.
 
-    ``on_end`` is called if it was read ahead to its proper end.
+    ``time_limit`` is the trio time until which it may come. ``on_end`` is
+    called if it was read ahead to its proper end.
     """
 
     def __init__(
         self,
         source: Source,
         holding: memory.account.Holding,
+        time_limit: float,
         on_end: OnEnd | None,
     ) -> None:
         self._source = source
         self._holding = holding
+        self._last_read_at = time_limit - LAST_READ_TIME
         self._on_end = on_end
         self._parts: collections.deque[Part] = collections.deque()
         self._held = 0
@@ -69,10 +75,14 @@
             self._changed.unpark_all()
         return part
 
-    async def read_ahead(self) -> None:
-        """Read ahead once a write takes long; runs beside the writes."""
+    async def read_ahead(self) -> bool:
+        """Read ahead once a write takes long; runs beside the writes.
+
+        Returns whether the answer was read to its proper end.
+        """
         while not self._is_ahead:
             await self._wait_for_stall()
+        part: Part = b""
         while not self.ended:
             while self._held >= self._limit():
                 await self._changed.park()
@@ -85,6 +95,7 @@
             elif part is None and self._on_end is not None:
                 await self._on_end()
             self._changed.unpark_all()
+        return part is None
 
     def release(self) -> None:
         """Count nothing as held any more."""
@@ -93,10 +104,15 @@
     async def _wait_for_stall(self) -> None:
         now = trio.current_time()
         since = self._writing_since
-        if since is not None and now >= since + STALL_TIME:
+        is_last = now >= self._last_read_at
+        if since is not None and (is_last or now >= since + STALL_TIME):
             self._is_ahead = True
             return
-        await trio.sleep_until((now if since is None else since) + STALL_TIME)
+        if is_last:
+            await trio.sleep(LAST_READ_TIME / 5)
+            return
+        stalled_at = (now if since is None else since) + STALL_TIME
+        await trio.sleep_until(min(stalled_at, self._last_read_at))
 
     def _limit(self) -> int:
         """Return the bytes from which on the instance has to wait."""
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -30,6 +30,7 @@
 from primrosemill.proxy import memory
 from primrosemill.proxy import peer_forwarding
 from primrosemill.proxy import replay_body
+from primrosemill.proxy import request_deadline
 from primrosemill.proxy import request_guard
 from primrosemill.proxy import request_policies
 from primrosemill.proxy import request_recorder
@@ -226,10 +227,21 @@
             self._guard, scope, body, request_id
         )
         connection = scope["state"][callers.CONNECTION_KEY]
+        deadline = request_deadline.RequestDeadline(
+            self._requests.stop,
+            request_deadline.ReadTimes(
+                self._dialect.max_write_stall, self._dialect.max_relay_time
+            ),
+        )
         caller = callers.Caller(
-            send, body, connection, self._is_closing, self._dialect
+            send,
+            body,
+            connection,
+            self._is_closing,
+            deadline,
+            self._dialect,
         )
-        request = self._requests.add(request_id, caller)
+        request = self._requests.add(request_id, caller, deadline)
         try:
             id_value = self._dialect.find_request_id(scope["headers"])
             ticket = ticket_inspection.read_ticket(
@@ -292,11 +304,11 @@
         refused = self._refuse_early(scope)
         if refused is not None:
             return refused
-        identified: Identified | request_policies.Refused = (
-            request_policies.STOPPING
-        )
-        with request.open_scope(self._requests.stop.answers_by):
-            identified = await self._identify(scope, ticket)
+        identified: Identified | request_policies.Refused | None = None
+        with request.deadline.open():
+            identified = await self._identify(scope, ticket, request.deadline)
+        if identified is None:
+            return request.deadline.refuse_late()
         if isinstance(identified, request_policies.Refused):
             return identified
         match, customer = identified
@@ -312,7 +324,12 @@
                 outcomes.RefusalReason.BODY_TOO_LARGE
             )
         outgoing = _build_outgoing(
-            scope, body, match.route, now, self._dialect
+            scope,
+            body,
+            match.route,
+            now,
+            request.deadline.time_limit,
+            self._dialect,
         )
         key = None
         if customer is not None:
@@ -336,6 +353,7 @@
             self.read_news,
             request_losses.RequestLoss(),
             self._requests.stop,
+            request.deadline,
             caller.permit,
             self.forwarding,
             ticket is not None,
@@ -349,25 +367,36 @@
         return result
 
     async def _identify(
-        self, scope: asgi.Scope, ticket: forwarding_tickets.Ticket | None
+        self,
+        scope: asgi.Scope,
+        ticket: forwarding_tickets.Ticket | None,
+        deadline: request_deadline.RequestDeadline,
     ) -> Identified | request_policies.Refused:
         """Find the route and the customer of a request, or its refusal.
 
         A request may wait until this VM knows enough of the configuration.
         """
-        identified = self._identify_now(scope, ticket)
+        arrived = trio.current_time()
+        identified = self._identify_now(scope, ticket, deadline, arrived)
         if isinstance(identified, request_policies.Refused) and (
             await self.access.wait_for_change(identified, scope["headers"])
         ):
-            return self._identify_now(scope, ticket)
+            return self._identify_now(scope, ticket, deadline, arrived)
         return identified
 
     def _identify_now(
-        self, scope: asgi.Scope, ticket: forwarding_tickets.Ticket | None
+        self,
+        scope: asgi.Scope,
+        ticket: forwarding_tickets.Ticket | None,
+        deadline: request_deadline.RequestDeadline,
+        arrived: float,
     ) -> Identified | request_policies.Refused:
         match = self._find_route(scope, ticket)
         if isinstance(match, request_policies.Refused):
             return match
+        deadline.limit(
+            arrived + _read_timeout(scope, match.route, self._dialect)
+        )
         if self.access.needs_keys:
             self.access.freshness.record_demand()
         customer = self.access.identify(
@@ -389,9 +418,11 @@
         """
         capped = None if context.is_forwarded else context.customer
         if capped is not None:
-            refused = request_policies.STOPPING
-            with request.open_scope(self._requests.stop.answers_by):
+            refused = None
+            with request.deadline.open() as scope:
                 refused = await self.caps.acquire(capped, context.latest_end)
+            if scope.cancelled_caught:
+                return request.deadline.refuse_late()
             if refused is not None:
                 return refused
             recheck = self.caps.check_start(capped, context.recheck_key)
@@ -477,8 +508,8 @@
             self._recorder,
             self._hedge_runner,
         )
-        request.set_exchange(request_exchange, outgoing.deadline)
-        with request.open_scope(context.latest_end) as scope:
+        request.set_exchange(request_exchange)
+        with request.deadline.open() as scope:
             caller.attach(scope)
             try:
                 # If an earlier answer closes the connection, the caller
@@ -495,6 +526,8 @@
             return exchange.CallerGone()
         if caller.started:
             caller.abort()
+            if not caller.evicted:
+                _log_cut_off(request, caller)
             return exchange.Aborted(outcomes.UnknownReason.TIMEOUT)
         if caller.evicted:
             return await request_exchange.conclude_evicted()
@@ -555,6 +588,20 @@
         return await request_exchange.run()
 
 
+def _log_cut_off(
+    request: requests_in_progress.RequestInProgress, caller: callers.Caller
+) -> None:
+    now = trio.current_time()
+    events.emit(
+        events.ANSWER_CUT_OFF,
+        request_id=request.request_id,
+        stage=request.deadline.stage.value,
+        relayed=caller.relayed,
+        elapsed=round(now - request.arrived, 3),
+        late=round(now - request.deadline.time_limit, 3),
+    )
+
+
 def _is_large(outgoing: attempts.Outgoing) -> bool:
     """Return whether a body is announced that exceeds the buffer."""
     length = headers.find(outgoing.headers, headers.CONTENT_LENGTH)
@@ -614,18 +661,25 @@
     )
 
 
+def _read_timeout(
+    scope: asgi.Scope, route: documents.Route, dialect: dialects.Dialect
+) -> float:
+    """Return the seconds that a caller waits, at most its route's."""
+    return dialect.parse_timeout(
+        headers.find(scope["headers"], dialect.timeout), route.deadline
+    )
+
+
 def _build_outgoing(
     scope: asgi.Scope,
     body: replay_body.ReplayBody,
     route: documents.Route,
     now: float,
+    time_limit: float,
     dialect: dialects.Dialect,
 ) -> attempts.Outgoing:
     """Build the request for instances from the caller's request."""
     request_headers = scope["headers"]
-    timeout = dialect.parse_timeout(
-        headers.find(request_headers, dialect.timeout), route.deadline
-    )
     target = asgi.read_target(scope)
     replaced_names = {dialect.timeout, dialect.expected_instance}
     forwarded = headers.forward(
@@ -639,7 +693,7 @@
         forwarded,
         body,
         route.idempotent,
-        now + timeout,
+        time_limit,
         now,
         route,
         dialect.find_request_id(request_headers),
--- a/packages/proxy/src/primrosemill/proxy/callers.py
+++ b/packages/proxy/src/primrosemill/proxy/callers.py
@@ -14,10 +14,10 @@
 from primrosemill.proxy import headers
 from primrosemill.proxy import memory
 from primrosemill.proxy import replay_body
+from primrosemill.proxy import request_deadline
 from primrosemill.proxy import request_policies
 
 CONNECTION_KEY = "connection"
-PROGRESS_TIMEOUT = 60.0  # seconds without progress in relaying an answer
 LINGER_TIMEOUT = 10.0  # seconds for reading the rest of a refused upload
 DISCARD_TIMEOUT = 1.0  # the same for reading an upload while many are refused
 STATUS_BAD_GATEWAY = 502
@@ -74,12 +74,14 @@
         body: replay_body.ReplayBody,
         connection: CallerConnection,
         is_proxy_closing: typing.Callable[[], bool],
+        deadline: request_deadline.RequestDeadline,
         dialect: dialects.Dialect = dialects.DEFAULT,
     ) -> None:
         self._send = send
         self._body = body
         self._connection = connection
         self._is_proxy_closing = is_proxy_closing
+        self._deadline = deadline
         self._dialect = dialect
         self._scope: trio.CancelScope | None = None
         # A header that the VM's own answers repeat, if any.
@@ -89,8 +91,6 @@
         self.evicted = False
         # Bytes of the answer's body that were passed on.
         self.relayed = 0
-        self._relay_deadline = math.inf
-        self._time_limit = -math.inf
 
     @property
     def permit(self) -> run_permit.RunPermit:
@@ -98,12 +98,8 @@
         return self._connection.permit
 
     def attach(self, scope: trio.CancelScope) -> None:
-        """Cancel the scope if the caller disconnects.
-
-        Its deadline is the caller's time limit.
-        """
+        """Cancel the scope if the caller disconnects."""
         self._scope = scope
-        self._time_limit = scope.deadline
         self._connection.on_disconnect = self._on_disconnect
         self._connection.on_evict = self._on_evict
         if self._connection.disconnected:
@@ -135,20 +131,20 @@
         """
         self.started = True
         self.permit.close()
-        self._relay_deadline = (
-            trio.current_time() + self._dialect.max_relay_time
-        )
-        self._extend_deadline()
+        self._deadline.begin_answer()
         await self._connection.wait_for_turn()
         self._connection.buffer_head()
         await self._send(
             asgi.start_message(answer.status, self._build_headers(answer))
         )
         if answer.complete:
-            await self._finish(answer.buffered)
+            await self._finish_relay(answer.buffered)
             return None
         rest = answer_rest.AnswerRest(
-            attempt, self._connection.holding, on_end
+            attempt,
+            self._connection.holding,
+            self._deadline.time_limit,
+            on_end,
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -161,12 +157,8 @@
 
     async def _read_ahead(self, rest: answer_rest.AnswerRest) -> None:
         """Read ahead of a slow caller, who then has its own time limit."""
-        await rest.read_ahead()
-        if self._scope is not None:
-            self._scope.deadline = max(
-                self._scope.deadline,
-                min(self._time_limit, self._relay_deadline),
-            )
+        if await rest.read_ahead():
+            self._deadline.hold_answer()
 
     async def _relay_parts(
         self, buffered: bytes, rest: answer_rest.AnswerRest
@@ -174,25 +166,15 @@
         part: answer_rest.Part = buffered
         while isinstance(part, bytes):
             self.relayed += len(part)
-            self._extend_deadline(self._write_time(rest))
+            self._deadline.begin_write()
             rest.begin_write()
             await self._send(asgi.body_message(part, True))
-            self._extend_deadline()
+            self._deadline.end_write()
             part = await rest.next_part()
         if part is None:
-            await self._finish(b"")
+            await self._finish_relay(b"")
         return part
 
-    def _write_time(self, rest: answer_rest.AnswerRest) -> float:
-        """Return the seconds that a part may stay unread.
-
-        An instance that still sends must not wait for a slow caller.
-        """
-        stall = self._dialect.max_write_stall
-        if not rest.ended:
-            return stall
-        return max(stall, self._time_limit - trio.current_time())
-
     async def refuse(self, refused: request_policies.Refused) -> None:
         """Answer that the request was not run, why, and when to retry.
 
@@ -243,7 +225,19 @@
         if scope.cancelled_caught:
             self.abort()
 
-    async def _finish(self, last_chunk: bytes) -> None:
+    async def _finish_relay(self, last_chunk: bytes) -> None:
+        """End an answer that is held here whole.
+
+        Its end is not sent before the upload's, so it is due in time.
+        """
+        self._deadline.hold_answer()
+        self._deadline.begin_write()
+        within = self._deadline.time_limit - trio.current_time()
+        await self._finish(last_chunk, within)
+
+    async def _finish(
+        self, last_chunk: bytes, within: float = math.inf
+    ) -> None:
         """End the answer after reading the rest of the upload.
 
         The data of the answer is sent before that. Closing with unread bytes
@@ -255,14 +249,15 @@
                 await self._send(asgi.body_message(last_chunk, True))
                 last_chunk = b""
             if not self.evicted:
-                await self._discard_body()
+                await self._discard_body(within)
         await self._send(asgi.body_message(last_chunk, False))
 
-    async def _discard_body(self) -> None:
+    async def _discard_body(self, within: float) -> None:
         """Read the rest of the upload, at full speed for a few callers."""
         places = self._connection.discards
         has_place = places.take()
         timeout = LINGER_TIMEOUT if has_place else DISCARD_TIMEOUT
+        timeout = max(0.0, min(timeout, within))
         try:
             with trio.move_on_after(timeout):
                 await self._body.discard(slowly=not has_place)
@@ -285,12 +280,6 @@
             return True
         return self._is_proxy_closing() and self._connection.claim_close()
 
-    def _extend_deadline(self, timeout: float = PROGRESS_TIMEOUT) -> None:
-        if self._scope is not None:
-            self._scope.deadline = min(
-                trio.current_time() + timeout, self._relay_deadline
-            )
-
     def _on_evict(self) -> None:
         """Refuse the request, or cut its answer off, to free memory."""
         self.evicted = True
--- a/packages/proxy/src/primrosemill/proxy/dialects.py
+++ b/packages/proxy/src/primrosemill/proxy/dialects.py
@@ -94,9 +94,10 @@
     they are relayed. ``replay_buffer_size`` is the number of bytes of a
     request body that are kept for retries. ``max_answer_size`` limits an
     answer's body in bytes, framing included, and ``max_relay_time`` the
-    seconds of relaying it; an endless answer is cut off there. An answer is
-    also cut off if a part of it is not read for ``max_write_stall`` seconds,
-    so that its instance is free before it gives up. With ``buffer_uploads``
+    seconds from its start until the caller has read it, which may be past the
+    request's time limit. An answer is also cut off if a part of it is not
+    read for ``max_write_stall`` seconds, so that its instance is free before
+    it gives up. With ``buffer_uploads``
     the part of a body that is kept for retries is read before a slot is
     taken, so that a caller that sends slowly holds none.
     """
--- a/packages/proxy/src/primrosemill/proxy/exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/exchange.py
@@ -352,9 +352,7 @@
 
     def _refuse_late(self) -> request_policies.Refused:
         """Return the refusal of a request whose time is over."""
-        if self._context.stop.shortens(self._context.outgoing.deadline):
-            return request_policies.STOPPING
-        return request_policies.Refused(outcomes.RefusalReason.DEADLINE)
+        return self._context.deadline.refuse_late()
 
     def _slot_request(
         self, failed_id: str | None = None
--- a/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
+++ b/packages/proxy/src/primrosemill/proxy/requests_in_progress.py
@@ -9,9 +9,9 @@
 import trio
 
 from primrosemill.decisions import planned_stop
-from primrosemill.fleet import awake_clock
 from primrosemill.proxy import callers
 from primrosemill.proxy import exchange
+from primrosemill.proxy import request_deadline
 from primrosemill.telemetry import events
 
 MAX_LOGGED = 256  # requests that are logged as cut off
@@ -29,13 +29,17 @@
 class RequestInProgress:
     """A request without its final answer; times are trio times."""
 
-    def __init__(self, request_id: str, caller: callers.Caller) -> None:
+    def __init__(
+        self,
+        request_id: str,
+        caller: callers.Caller,
+        deadline: request_deadline.RequestDeadline,
+    ) -> None:
         self.request_id = request_id
         self.arrived = trio.current_time()
-        self.deadline = math.inf
+        self.deadline = deadline
         self._caller = caller
         self._exchange: exchange.Exchange | None = None
-        self._scope: trio.CancelScope | None = None
 
     @property
     def phase(self) -> Phase:
@@ -48,23 +52,9 @@
             return Phase.PASSED_ON
         return Phase.WAITING
 
-    def open_scope(self, time: float) -> awake_clock.Deadline:
-        """Return the deadline of the next part of the work on the request."""
-        deadline = awake_clock.deadline(time)
-        self._scope = deadline.scope
-        return deadline
-
-    def set_exchange(
-        self, request_exchange: exchange.Exchange, deadline: float
-    ) -> None:
-        """Set what passes the request on, and the caller's time limit."""
+    def set_exchange(self, request_exchange: exchange.Exchange) -> None:
+        """Set what passes the request on."""
         self._exchange = request_exchange
-        self.deadline = deadline
-
-    def end_by(self, time: float) -> None:
-        """End the current part of the work then; a begun answer goes on."""
-        if self._scope is not None and not self._caller.started:
-            self._scope.deadline = min(self._scope.deadline, time)
 
 
 class RequestsInProgress:
@@ -78,10 +68,13 @@
         return len(self._requests)
 
     def add(
-        self, request_id: str, caller: callers.Caller
+        self,
+        request_id: str,
+        caller: callers.Caller,
+        deadline: request_deadline.RequestDeadline,
     ) -> RequestInProgress:
         """Add a request that has arrived."""
-        request = RequestInProgress(request_id, caller)
+        request = RequestInProgress(request_id, caller, deadline)
         self._requests.add(request)
         return request
 
@@ -93,13 +86,13 @@
         """Answer each request before connections are cut off."""
         self.stop.begin(times)
         for request in self._requests:
-            request.end_by(times.answers_by)
+            request.deadline.follow_stop()
 
     def log_cut_off(self) -> None:
         """Log the requests that end with the process."""
         now = trio.current_time()
         for request in list(self._requests)[:MAX_LOGGED]:
-            seconds_left = request.deadline - now
+            seconds_left = request.deadline.time_limit - now
             events.emit(
                 events.REQUEST_CUT_OFF,
                 request_id=request.request_id,
--- a/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
+++ b/packages/proxy/src/primrosemill/proxy/tracked_attempts.py
@@ -15,6 +15,7 @@
 from primrosemill.proxy import connections
 from primrosemill.proxy import instance_stream
 from primrosemill.proxy import peer_forwarding
+from primrosemill.proxy import request_deadline
 from primrosemill.proxy import request_policies
 from primrosemill.proxy import request_watch
 
@@ -99,7 +100,8 @@
     ``is_forwarded`` means that another VM passed the request on, so this one
     must not. ``customer`` is the one that the request counts for, if any;
     ``recheck_key`` tells why its key does not hold any more. ``loss`` is
-    whether the request counts as lost, ``stop`` the planned stop of this VM.
+    whether the request counts as lost, ``stop`` the planned stop of this VM,
+    ``deadline`` until when the caller may wait.
     ``permit`` excludes that it is sent once it was refused.
     """
 
@@ -113,6 +115,7 @@
     read_news: typing.Callable[[], None]
     loss: request_losses.RequestLoss
     stop: planned_stop.PlannedStop
+    deadline: request_deadline.RequestDeadline
     permit: run_permit.RunPermit
     forwarding: peer_forwarding.PeerForwarding | None = None
     is_forwarded: bool = False
@@ -122,7 +125,7 @@
     @property
     def latest_end(self) -> float:
         """Return when the request has its answer, a trio time."""
-        return self.stop.latest_end(self.outgoing.deadline)
+        return self.deadline.end
 
     @property
     def can_end(self) -> bool:
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -353,6 +353,17 @@
     "not allowed. It is refused.",
     ("request_id", "fault"),
 )
+ANSWER_CUT_OFF = Event(
+    "PM3024",
+    "answer_cut_off",
+    Level.INFO,
+    "The time of a request was over within its answer, so its caller's "
+    "connection was reset. `stage` tells what the caller waited for: "
+    "`answer`, the instance's next bytes, or `reading`, its own reading of "
+    "what this VM held. `late` is the time past the request's time limit, in "
+    "seconds.",
+    ("request_id", "stage", "relayed", "elapsed", "late"),
+)
 STANDING_CHANGED = Event(
     "PM4001",
     "standing_changed",
@@ -595,6 +606,7 @@
     TICKET_REFUSED,
     CAP_REFUSED,
     REFUSAL_WITHHELD,
+    ANSWER_CUT_OFF,
     STANDING_CHANGED,
     INSTANCE_SEEN,
     INSTANCE_GONE,
--- a/tests/builders/cuts.py
+++ b/tests/builders/cuts.py
@@ -12,7 +12,9 @@
 import trio
 
 from primrosemill.configuration import checks
+from primrosemill.configuration import document as documents
 from primrosemill.proxy import entry_vm
+from primrosemill.standins import asgi
 from tests.builders import users_platform as builders
 
 FIRST_DOMAIN = builders.DOMAIN
@@ -108,6 +110,12 @@
         return self._wrapped.is_readable()
 
 
+def use_helper(built: builders.Running, served: asgi.SocketAddress) -> None:
+    """Let a VM pass requests on to one address only, as to another VM."""
+    helper = documents.Instance("other", served.ip, served.port, FIRST_DOMAIN)
+    built.vm._isolation.forwarding._find_helpers = lambda: [[helper]]
+
+
 @contextlib.asynccontextmanager
 async def running_fleet(
     domains: typing.Sequence[str],
--- a/tests/builders/frozen_vms.py
+++ b/tests/builders/frozen_vms.py
@@ -218,6 +218,16 @@
         )
         self._connection.sendall(head.encode() + body)
 
+    def send(self, data: bytes) -> bool:
+        """Send bytes as they are; return whether the connection is open."""
+        try:
+            self._connection.send(data)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return True
+
     def close(self) -> None:
         """Close all sockets."""
         self._listener.close()
@@ -239,6 +249,7 @@
         self._received = b""
         self._unsent = b""
         self.ids: list[str] = []
+        self.is_closed = False
 
     def begin(self, data: bytes, size: int) -> None:
         """Send the first bytes of a request."""
@@ -274,10 +285,20 @@
 
     def answers(self) -> list[pipelines.Answer]:
         """Read what has arrived, and return the complete answers."""
-        with contextlib.suppress(OSError):
+        self.read()
+        return pipelines.parse(self._received)
+
+    def read(self) -> bytes:
+        """Read what has arrived, and return all that was received so far."""
+        try:
             while data := self._socket.recv(65_536):
                 self._received += data
-        return pipelines.parse(self._received)
+            self.is_closed = True
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.is_closed = True
+        return self._received
 
     def send(self, data: bytes) -> bytes:
         """Send bytes; return those that the kernel doesn't take.
--- a/tests/platform/test_endless_instances.py
+++ b/tests/platform/test_endless_instances.py
@@ -6,7 +6,6 @@
 import testtools
 import trio
 
-from primrosemill.configuration import document as documents
 from primrosemill.measure import endless
 from primrosemill.standins import endless_instances
 from tests.builders import cuts
@@ -56,11 +55,7 @@
             async with trio.open_nursery() as nursery:
                 helper = endless_instances.EndlessInstance(Shape.TINY_CHUNKS)
                 served = await nursery.start(helper.serve, users_platform.IP)
-                vm = documents.Instance(
-                    "other", served.ip, served.port, cuts.FIRST_DOMAIN
-                )
-                forwarding = first.vm._isolation.forwarding
-                forwarding._find_helpers = lambda: [[vm]]
+                cuts.use_helper(first, served)
                 async with trio.open_nursery() as calls:
                     for number in range(24):
                         calls.start_soon(self.call, first, f"r{number}")
--- a/tests/proxy/test_refusal_table.py
+++ b/tests/proxy/test_refusal_table.py
@@ -1,7 +1,6 @@
 """Walks the table of refusals and closed connections in the design notes."""
 
 import pathlib
-import re
 
 import testtools
 
@@ -9,13 +8,12 @@
 from primrosemill.proxy import caller_connection
 from primrosemill.proxy import request_policies
 from tests.builders import frozen_vms as builders
+from tests.builders import tables
 
 from primrosemill.proxy.memory import heavy_work
 
 PAGE = pathlib.Path("docs/design/refusals.md")
-TESTS = pathlib.Path("tests")
 OWN_NAME = "proxy/test_refusal_table"
-ROW = re.compile(r"^\| `(\w+)` \|.*\| `([\w/]+)` \|$", re.MULTILINE)
 BODY = b"x" * 40_000
 LONG_BODY = b"x" * 900_000  # longer than what is kept for another attempt
 LONG_TIME = 9_000  # milliseconds
@@ -66,16 +64,7 @@
         await world.advance(0.1)
 
     def test_each_row_has_its_test(self):
-        rows = dict(ROW.findall(PAGE.read_text()))
-        own = {name for name, test in rows.items() if test == OWN_NAME}
-        walked = {
-            name.removeprefix("test_row_")
-            for name in dir(self)
-            if name.startswith("test_row_")
-        }
-        self.assertEqual(own, walked)
-        for test in rows.values():
-            self.assertTrue((TESTS / f"{test}.py").exists(), test)
+        tables.check_rows(self, PAGE, OWN_NAME)
 
     def test_row_slow_head(self):
         async def check(world):
--- a/tests/proxy/test_slow_readers.py
+++ b/tests/proxy/test_slow_readers.py
@@ -40,7 +40,9 @@
 
             holding = account.add(None, "10.0.0.1")
 
-            rest = answer_rest.AnswerRest(Source(*parts), holding, end)
+            rest = answer_rest.AnswerRest(
+                Source(*parts), holding, TIME_LIMIT, end
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(rest.read_ahead)
                 rest.begin_write()
