Fleet: a VM reads the feed itself where no reader vouches for its changes

The VM reached the store all the while.

Cause: who reads the feed, who is asked and when a VM reads for itself followed from a mark in the gossip entries of its peers, until the membership notices that they are gone: 2 s, or 5 s where a VM hears nobody and suspects itself first. Nothing asked as of when the VM knows the feed.

A VM now asks a reader of its domain every 0.35 s whether it still reads, as of when it knows the feed and for how long its open call counts as alive. If none vouches, the VM reads the feed within 0.2 s (0.35 s in a fleet of 690) and tells its domain. decisions/feed_age is the one module for the age of what is known: the keys' knowledge builds on it, and is kept fresh by the same questions. Watches are renewed after 1.2 s in place of 1.5 s. PM2013, feed_rounds and feed_age_seconds show it; PM2007 has the age.

Ruled out: a shorter self-suspicion (does not help where only the readers, or their paths to the store, are lost), a limit on the age alone (a fleet at rest knows the feed for certain as of 2.3 s ago), ages in heartbeats (too slow).

--- a/packages/decisions/src/primrosemill/decisions/customers/freshness.py
+++ b/packages/decisions/src/primrosemill/decisions/customers/freshness.py
@@ -13,6 +13,8 @@
 import random
 import typing
 
+from primrosemill.decisions import feed_age
+
 # What ages leave out: a check before the clock is read again, rounding, and
 # clocks that run at different speeds.
 MARGIN = 0.1  # seconds
@@ -68,31 +70,13 @@
     return max(interval, vm_count / MAX_QUESTION_RATE)
 
 
-class Version(typing.NamedTuple):
-    """A version of the configuration, and the feed's epoch that it is from."""
-
-    epoch: int = 0
-    number: int = 0
-
-    def includes(self, other: "Version") -> bool:
-        """Return whether nothing of another version is missing here."""
-        return self.epoch >= other.epoch and self.number >= other.number
-
-
 class Answer(typing.NamedTuple):
     """The version in force at another VM, and the age of what it knows."""
 
-    version: Version
+    version: feed_age.Version
     age: float
 
 
-class _Confirmation(typing.NamedTuple):
-    """A version that was the newest one at a time."""
-
-    version: Version
-    known_at: float
-
-
 class Knowledge:
     """As of when a VM knows the configuration that it has in force.
 
@@ -101,57 +85,38 @@
     """
 
     def __init__(self) -> None:
-        self._own = Version()
+        self._own = feed_age.Version()
         # The highest number of a version that another VM has named.
         self._highest_number = 0
-        self._known_at = -math.inf
-        # Of a version that this VM does not have yet.
-        self._pending: _Confirmation | None = None
+        self._feed = feed_age.Knowledge()
 
     def age(self, now: float) -> float:
         """Return the seconds for which a change may be unknown here."""
         if self._own.number < self._highest_number:
             return math.inf
-        return now - self._known_at
+        return self._feed.age(now)
 
-    def record_version(self, named: Version) -> None:
+    def record_version(self, named: feed_age.Version) -> None:
         """Record the version that is in force at another VM."""
         self._highest_number = max(self._highest_number, named.number)
 
-    def record_read(self, sent_at: float) -> None:
-        """Record that a call to the feed sent at a time was answered.
-
-        Its changes must have been applied.
-        """
-        self._known_at = max(self._known_at, sent_at)
+    def record_read(self, known_at: float) -> None:
+        """Record that all changes of the feed up to a time are applied."""
+        self._feed.record_read(known_at)
 
     def record_answer(self, asked_at: float, answer: Answer) -> None:
         """Record the answer of a VM to a question sent at a time."""
         self.record_version(answer.version)
-        known_at = asked_at - answer.age
-        if self._own.includes(answer.version):
-            self.record_read(known_at)
-        elif self._pending is None or known_at > self._pending.known_at:
-            self._pending = _Confirmation(answer.version, known_at)
+        self._feed.record_answer(asked_at, answer.version, answer.age)
 
-    def apply_version(self, own: Version) -> None:
+    def apply_version(self, own: feed_age.Version) -> None:
         """Record the version in force here, which answers may have named."""
         self._own = own
-        pending = self._pending
-        if pending is not None and own.includes(pending.version):
-            self._pending = None
-            self.record_read(pending.known_at)
-
-
-class Reader(typing.NamedTuple):
-    """A VM that reads the feed."""
-
-    vm_id: str
-    domain: str
+        self._feed.apply_version(own)
 
 
 def choose_readers(
-    readers: typing.Iterable[Reader],
+    readers: typing.Iterable[feed_age.Reader],
     own_domain: str,
     generator: random.Random,
 ) -> list[str]:
--- a/packages/fleet/src/primrosemill/fleet/feed_follower.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_follower.py
@@ -5,6 +5,7 @@
 heartbeat that a peer is ahead pulls the missing changes from that peer.
 """
 
+import random
 import typing
 
 import msgspec
@@ -14,6 +15,7 @@
 from primrosemill.fleet import awake_clock
 from primrosemill.fleet import boot_clock
 from primrosemill.fleet import feed
+from primrosemill.fleet import feed_age_exchange
 from primrosemill.fleet import feed_reader_policy
 from primrosemill.fleet import members
 from primrosemill.fleet import membership
@@ -29,7 +31,7 @@
 
 # Seconds after which a watch is renewed. Bounds the time for which a dead
 # connection hides changes.
-WATCH_TIMEOUT = 1.5
+WATCH_TIMEOUT = 1.2
 # The wait of a watch that only tells whether this VM has all changes.
 CHECK_TIMEOUT = 0.001  # seconds
 # Seconds between a change and the next watch. Changes come in bursts, and
@@ -87,8 +89,8 @@
     """Follows the feed by reading it, or through peers that read it.
 
     ``watch_timeout`` is the time in seconds after which a watch is renewed.
-    ``on_read`` is called after each answered call with the time at which the
-    call was sent, by ``clock``, which counts suspended time.
+    ``clock`` counts suspended time. ``age`` knows as of when the feed is known
+    here, and asks the VMs that read it.
     """
 
     def __init__(
@@ -99,6 +101,8 @@
         link: transport.Transport,
         observe: observations.Observer,
         on_change: ChangeHandler,
+        generator: random.Random,
+        clock: Clock = boot_clock.now,
     ) -> None:
         self.in_force = trio.Event()
         self.mirror = mirror.Mirror()
@@ -122,14 +126,21 @@
             digest=peer_builds.KNOWS_CUSTOMERS
         )
         self.watch_timeout = WATCH_TIMEOUT
-        self.clock: Clock = boot_clock.now
-        self.on_read: ReadHandler = ignore_read
+        self.clock = clock
+        self.age = feed_age_exchange.FeedAgeExchange(
+            view, link, self.mirror, generator, observe, clock
+        )
+        self.age.on_position = self._record_position
+        self.age.on_voucher = self._record_voucher
+        self.age.is_usable = self._is_usable
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start the tasks that follow the feed and the peers."""
         nursery.start_soon(self._follow_feed)
         nursery.start_soon(self._follow_peers)
         nursery.start_soon(self._expire_retained)
+        nursery.start_soon(self.age.run, self.in_force)
+        nursery.start_soon(self._check_beside_calls)
 
     def record_peer_version(
         self, vm_id: str, version: messages.VersionInForce
@@ -140,7 +151,12 @@
             self._builds.record(
                 vm_id, member.entry.incarnation, version.digest
             )
-        position = feed.Position(version.epoch, version.number)
+        self._record_position(
+            vm_id, feed.Position(version.epoch, version.number)
+        )
+
+    def _record_position(self, vm_id: str, position: feed.Position) -> None:
+        """Record the position of a peer's mirror, to pull from it if ahead."""
         if position <= self.mirror.position:
             self._peer_positions_by_id.pop(vm_id, None)
             return
@@ -279,27 +295,50 @@
     def _reader_count(self) -> int:
         return sum(entry.watching for entry in self._capable_peers())
 
-    def _any_peer_reads(self) -> bool:
-        """Return whether any other VM says that it reads the feed."""
-        present = self._view.table.present_by_id.values()
-        return any(entry.watching for entry in present)
+    def _record_voucher(self) -> None:
+        self._outage_detector.record_reader(trio.current_time())
+
+    def _is_usable(self, entry: messages.Entry) -> bool:
+        return not self._builds.is_older(entry)
 
     async def _follow_feed(self) -> None:
         while True:
-            now = trio.current_time()
-            reader_count = self._reader_count()
-            if self._any_peer_reads():
-                self._outage_detector.record_reader(now)
-            peer_count = len(self._capable_peers())
-            if self._has_to_confirm(now):
-                reader_count = peer_count = 0
-            if self._reader_policy.should_start(now, reader_count, peer_count):
+            if self._has_to_read(trio.current_time()):
                 await self._read_until_failure()
                 self._set_watching(False)
+                self.age.end_calls()
+            interval = START_POLL_INTERVAL
             if self.in_force.is_set():
-                await trio.sleep(POLL_INTERVAL)
-            else:
-                await trio.sleep(START_POLL_INTERVAL)
+                interval = POLL_INTERVAL
+            wait = self._reader_policy.time_to_start(trio.current_time())
+            with trio.move_on_after(min(interval, wait)):
+                await self.age.changed.wait()
+
+    async def _check_beside_calls(self) -> None:
+        """Read once more while a call of this VM to the feed is overdue.
+
+        Only the connection of that call may be broken.
+        """
+        while True:
+            await self.age.changed.wait()
+            if self.age.is_lost and self._view.own.watching:
+                await self.check_feed()
+
+    def _has_to_read(self, now: float) -> bool:
+        """Return whether to begin to read the feed now."""
+        if self.age.is_lost:
+            self._reader_policy.record_loss(
+                now, len(self._view.table.present_by_id) + 1
+            )
+            if self._reader_policy.should_start_alone(now):
+                return True
+        else:
+            self._reader_policy.end_loss()
+        reader_count = self._reader_count()
+        peer_count = len(self._capable_peers())
+        if self._has_to_confirm(now):
+            reader_count = peer_count = 0
+        return self._reader_policy.should_start(now, reader_count, peer_count)
 
     def _has_to_confirm(self, now: float) -> bool:
         """Return whether only the feed can tell a version's customers."""
@@ -319,7 +358,7 @@
 
     async def _read_until_failure(self) -> None:
         sent_at = self.clock()
-        result = await self._feed.read()
+        result = await self._read_first()
         if result.is_ok():
             self._outage_detector.record_answer(trio.current_time())
         while result.is_ok():
@@ -327,17 +366,34 @@
             self._observe(observations.StoreAnswered())
             # The feed was also reachable while the watch waited.
             self._outage_detector.record_reader(trio.current_time())
+            self.age.record_call(self.watch_timeout)
             await self._apply_read(result.ok, sent_at)
-            if self._reader_policy.should_stop(self._reader_count()):
+            if await self._has_to_stop():
                 return
+            is_new = not self._view.own.watching
             self._set_watching(True)
+            if is_new:
+                await self.age.announce()
             if result.ok.batch.items:
                 await trio.sleep(BURST_DELAY)
             sent_at = self.clock()
+            self.age.record_call(self.watch_timeout)
             result = await self._watch(self.watch_timeout)
         self._reader_policy.record_failure(trio.current_time())
         self._observe(observations.StoreFailed(result.error))
 
+    async def _read_first(self) -> feed.ReadResult:
+        """Read everything, or what has changed if the feed was read before."""
+        if not self.in_force.is_set():
+            return await self._feed.read()
+        return await self._watch(CHECK_TIMEOUT)
+
+    async def _has_to_stop(self) -> bool:
+        """Return whether to read no longer, as other VMs do."""
+        if not self._reader_policy.should_stop(self._reader_count()):
+            return False
+        return await self.age.find_voucher()
+
     async def _watch(self, wait: float) -> feed.ReadResult:
         """Wait for changes; read everything if the history is gone."""
         result = await self._feed.watch(self.mirror.position, wait)
@@ -353,7 +409,7 @@
         self._apply(read.batch, self._view.own.vm_id)
         if self.mirror.epoch == read.batch.epoch:
             # The mirror ignores batches of other epochs.
-            self.on_read(sent_at)
+            self.age.record_read(sent_at)
         if self.mirror.position == before or not read.batch.items:
             return
         await self._push(read.batch)
@@ -395,6 +451,7 @@
             or applied.ignored_routing_version
         ):
             self._on_change(applied, source, now)
+        self.age.apply_position()
         if self.mirror.routing is not None:
             self.in_force.set()
 
--- a/packages/fleet/src/primrosemill/fleet/feed_reader_policy.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_reader_policy.py
@@ -7,8 +7,11 @@
 election is needed. The module does no I/O; times are in seconds.
 """
 
+import math
 import random
 
+from primrosemill.decisions import feed_age
+
 # Readers in a failure domain; with two, changes still arrive if one fails.
 TARGET_READER_COUNT = 2
 ATTEMPT_INTERVAL = 0.25  # seconds between checks for missing readers
@@ -27,7 +30,30 @@
     def __init__(self, generator: random.Random, now: float) -> None:
         self._generator = generator
         self._next_attempt_at = now + START_DELAY
+        self._backoff_until = now + START_DELAY
         self._failure_count = 0
+        # When to read because no reader vouches for this VM.
+        self._alone_at = math.inf
+
+    def record_loss(self, now: float, vm_count: int) -> None:
+        """Record that no reader vouches for this VM, out of ``vm_count``."""
+        if math.isinf(self._alone_at):
+            delay = feed_age.read_delay(vm_count, self._generator)
+            self._alone_at = now + delay
+
+    def end_loss(self) -> None:
+        """Record that some reader vouches for this VM."""
+        self._alone_at = math.inf
+
+    def time_to_start(self, now: float) -> float:
+        """Return the seconds until this VM may have to read on its own."""
+        if math.isinf(self._alone_at):
+            return math.inf
+        return max(0.0, max(self._alone_at, self._backoff_until) - now)
+
+    def should_start_alone(self, now: float) -> bool:
+        """Return whether to read now, as no reader vouches for this VM."""
+        return now >= max(self._alone_at, self._backoff_until)
 
     def should_start(
         self, now: float, reader_count: int, peer_count: int
@@ -67,6 +93,5 @@
         """Back off before the next attempt, longer after each failure."""
         backoff = min(MAX_BACKOFF, INITIAL_BACKOFF * 2**self._failure_count)
         self._failure_count = min(self._failure_count + 1, 8)
-        self._next_attempt_at = now + backoff * self._generator.uniform(
-            0.5, 1.0
-        )
+        self._backoff_until = now + backoff * self._generator.uniform(0.5, 1.0)
+        self._next_attempt_at = self._backoff_until
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -52,6 +52,8 @@
     CAP_GRANT = 18
     ROOM = 19
     STARTS = 20
+    FEED_QUERY = 21
+    FEED_ANSWER = 22
 
 
 class Liveness(enum.IntEnum):
@@ -410,6 +412,32 @@
     starts: typing.Annotated[tuple[Start, ...], msgspec.Meta(max_length=16)]
 
 
+class FeedQuery(typing.NamedTuple):
+    """Asks a VM as of when it knows the feed.
+
+    ``epoch`` and ``revision`` are those that the sender has reached.
+    """
+
+    nonce: Count
+    epoch: Count
+    revision: Count
+
+
+class FeedAnswer(typing.NamedTuple):
+    """Answers the query with the same nonce, or with 0 announces a reader.
+
+    ``age_ms`` is the time in ms at sending, rounded up, since which changes
+    after ``revision`` may be unknown to the sender. Its open call to the feed
+    counts as alive for ``alive_ms`` ms more, rounded down; 0 if it has none.
+    """
+
+    nonce: Count
+    epoch: Count
+    revision: Count
+    age_ms: Count
+    alive_ms: Count
+
+
 Message = (
     Ping
     | Ack
@@ -430,6 +458,8 @@
     | CapGrant
     | Room
     | Starts
+    | FeedQuery
+    | FeedAnswer
 )
 
 KINDS_BY_TYPE: dict[type, Kind] = {
@@ -452,4 +482,6 @@
     CapGrant: Kind.CAP_GRANT,
     Room: Kind.ROOM,
     Starts: Kind.STARTS,
+    FeedQuery: Kind.FEED_QUERY,
+    FeedAnswer: Kind.FEED_ANSWER,
 }
--- a/packages/fleet/src/primrosemill/fleet/node.py
+++ b/packages/fleet/src/primrosemill/fleet/node.py
@@ -72,6 +72,7 @@
     messages.CapRequest,
     messages.CapGrant,
 )
+FEED_MESSAGES = (messages.FeedQuery, messages.FeedAnswer)
 # What a peer tells of its requests to services.
 SERVICE_MESSAGES = (
     messages.Sightings,
@@ -294,9 +295,10 @@
             self._transport,
             self._hooks.observe,
             self._hooks.on_change,
+            self._generator,
+            self._hooks.clock,
         )
-        follower.on_read = self._hooks.on_read
-        follower.clock = self._hooks.clock
+        follower.age.on_known = self._hooks.on_read
         return follower
 
     def _create_configuration_follower(
@@ -404,6 +406,10 @@
         if isinstance(message, SERVICE_MESSAGES):
             self._handle_service_message(received)
             return
+        if isinstance(message, FEED_MESSAGES):
+            if self._platform.feed_source is not None:
+                await self.follower.age.receive(received.sender_id, message)
+            return
         if isinstance(message, CUSTOMER_MESSAGES) and (
             self._platform.feed_source is not None
         ):
--- a/packages/fleet/src/primrosemill/fleet/observations.py
+++ b/packages/fleet/src/primrosemill/fleet/observations.py
@@ -6,6 +6,7 @@
 import typing
 
 from primrosemill.configuration import faults
+from primrosemill.decisions import feed_age
 from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import feed
 from primrosemill.fleet import messages
@@ -122,6 +123,23 @@
     others: int
 
 
+class FeedRoundEnded(typing.NamedTuple):
+    """Readers of the feed were asked whether they still read it."""
+
+    ended: feed_age.Round
+
+
+class FeedVoucherChanged(typing.NamedTuple):
+    """A reader of the feed vouches for this VM again, or none does.
+
+    ``age`` is the time in seconds for which changes may be unknown here; None
+    if nothing is known.
+    """
+
+    found: bool
+    age: float | None
+
+
 Observation = (
     MessageRefused
     | Transferred
@@ -137,6 +155,8 @@
     | BadItemRead
     | MemberChanged
     | WatchChanged
+    | FeedRoundEnded
+    | FeedVoucherChanged
 )
 Observer = typing.Callable[[Observation], None]
 
--- a/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from primrosemill.decisions import feed_age
 from primrosemill.fleet import feed_follower
 from primrosemill.fleet import messages
 from primrosemill.fleet import node
@@ -65,7 +66,7 @@
         generator: random.Random,
         count: Count,
         clock: feed_follower.Clock,
-        find_version: typing.Callable[[], freshness.Version],
+        find_version: typing.Callable[[], feed_age.Version],
         on_peer_version: typing.Callable[[str, int], None],
     ) -> None:
         self.timing = timing
@@ -128,7 +129,7 @@
         self, vm_id: str, message: node.FreshnessMessage, send: Send
     ) -> None:
         """Answer another VM's question, or apply its answer."""
-        version = freshness.Version(message.epoch, message.routing_version)
+        version = feed_age.Version(message.epoch, message.routing_version)
         self._knowledge.apply_version(self._find_version())
         self._knowledge.record_version(version)
         self._on_peer_version(vm_id, version.number)
@@ -163,8 +164,8 @@
                 await self._urgent.wait()
 
     def _has_to_ask(self, peers: fleet_peers.Peers) -> bool:
-        """Return whether this VM learns too little by reading the feed."""
-        return not peers.is_reader or self.age() > self.timing.refused
+        """Return whether what this VM knows of the feed is too old."""
+        return self.age() > self.timing.refused
 
     async def _ask(self, peers: fleet_peers.Peers) -> None:
         ended = await self._run_round(peers)
@@ -178,7 +179,7 @@
     async def _run_round(self, peers: fleet_peers.Peers) -> Round:
         self._asked_at_by_nonce.clear()
         readers = [
-            freshness.Reader(entry.vm_id, entry.domain)
+            feed_age.Reader(entry.vm_id, entry.domain)
             for entry in peers.readers()
         ]
         for vm_id in freshness.choose_readers(
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -15,6 +15,7 @@
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
 from primrosemill.decisions import belief as beliefs
+from primrosemill.decisions import feed_age
 from primrosemill.decisions import fingerprints
 from primrosemill.decisions import home_vms
 from primrosemill.decisions import limit_shares
@@ -455,6 +456,7 @@
                 routes=len(document.routes),
                 services=len(document.services_by_name),
                 source=source,
+                age=self.peers.feed_age(),
             )
 
     def _on_peer_departure(self, departure: messages.Departure) -> None:
@@ -528,11 +530,11 @@
         """Answer or apply what a peer asks or tells of its knowledge."""
         await self._freshness.receive(vm_id, message, self.peers.node.send_to)
 
-    def _find_version(self) -> freshness.Version:
+    def _find_version(self) -> feed_age.Version:
         """Return the version of the configuration in force."""
         feed_mirror = self.peers.node.follower.mirror
         routing = feed_mirror.routing
-        return freshness.Version(
+        return feed_age.Version(
             feed_mirror.epoch, 0 if routing is None else routing.version
         )
 
--- a/packages/proxy/src/primrosemill/proxy/peer_counters.py
+++ b/packages/proxy/src/primrosemill/proxy/peer_counters.py
@@ -2,9 +2,12 @@
 
 import enum
 import functools
+import math
+import typing
 
 import prometheus_client
 
+from primrosemill.decisions import feed_age
 from primrosemill.fleet import evidence_inbox
 from primrosemill.fleet import messages
 from primrosemill.fleet import observations
@@ -24,6 +27,10 @@
 )
 
 
+def _read_unknown_age() -> float:
+    return math.nan
+
+
 class PeerCounters:
     """Holds the metrics of the traffic between VMs."""
 
@@ -50,6 +57,21 @@
             (KINDS, Reach),
             registry,
         )
+        self.read_feed_age: typing.Callable[[], float] = _read_unknown_age
+        metrics.make_gauge(
+            "feed_age_seconds",
+            "Seconds for which changes of the feed may be unknown here.",
+            lambda: self.read_feed_age(),
+            registry,
+        )
+        self.feed_rounds = metrics.EnumCounter(
+            "feed_rounds",
+            "Questions whether readers of the feed still read it, by whether "
+            "the reader asked first said so, another one, or none.",
+            "outcome",
+            feed_age.Round,
+            registry,
+        )
         self.conflicts = metrics.make_counter(
             "version_conflicts",
             "Peers heard with other content under the version in force.",
@@ -98,6 +120,13 @@
     counters.conflicts.inc()
 
 
+@count.register
+def _count_feed_round(
+    observation: observations.FeedRoundEnded, counters: PeerCounters
+) -> None:
+    counters.feed_rounds.count(observation.ended)
+
+
 @count.register
 def _count_failed_pull(
     observation: observations.PullFailed, counters: PeerCounters
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -1,5 +1,6 @@
 """Connects a VM to its platform and to the other VMs of its fleet."""
 
+import math
 import random
 import time
 import typing
@@ -22,6 +23,11 @@
 from primrosemill.telemetry import events
 
 NANOSECONDS_PER_MS = 1_000_000
+# Events with the fields of an observation, of which nothing else follows.
+EVENTS_BY_TYPE = {
+    observations.FeedVoucherChanged: events.FEED_VOUCHER_CHANGED,
+    observations.WatchChanged: events.WATCH_CHANGED,
+}
 OnDocument = typing.Callable[[documents.Document], None]
 OnMember = typing.Callable[[observations.MemberChanged], None]
 OnEpoch = typing.Callable[[], None]
@@ -77,6 +83,7 @@
         self._first_peer_count = len(settings.first_peers)
         self._counters = counters
         self._store_reachable = True
+        counters.read_feed_age = self._read_feed_age
         identity = node.Identity(
             settings.fleet,
             settings.vm_id,
@@ -139,6 +146,21 @@
         membership_view = self.node.membership
         return membership_view is not None and membership_view.own.watching
 
+    def feed_age(self) -> float | None:
+        """Return the seconds for which changes of the feed may be unknown.
+
+        None if nothing is known of it.
+        """
+        follower = self.node.follower
+        if not isinstance(follower, feed_follower.FeedFollower):
+            return None
+        age = follower.age.age()
+        return None if math.isinf(age) else round(age, 3)
+
+    def _read_feed_age(self) -> float:
+        age = self.feed_age()
+        return math.nan if age is None else age
+
     def readers(self) -> list[messages.Entry]:
         """Return the other VMs that read the feed and may know customers."""
         if self.node.membership is None:
@@ -244,7 +266,10 @@
 
     def _on_observation(self, observation: observations.Observation) -> None:
         peer_counters.count(observation, self._counters)
-        if isinstance(observation, observations.StoreFailed):
+        event = EVENTS_BY_TYPE.get(type(observation))
+        if event is not None:
+            events.emit(event, **observation._asdict())
+        elif isinstance(observation, observations.StoreFailed):
             self._on_store_unreachable(observation.fault)
         elif isinstance(observation, observations.StoreAnswered):
             self._on_store_reachable()
@@ -264,8 +289,6 @@
         elif isinstance(observation, observations.MemberChanged):
             events.emit(events.MEMBER_CHANGED, **observation._asdict())
             self.on_member_changed(observation)
-        elif isinstance(observation, observations.WatchChanged):
-            events.emit(events.WATCH_CHANGED, **observation._asdict())
 
     def _log_refusal(self, faults: tuple[typing.Any, ...]) -> None:
         events.emit(
--- a/packages/telemetry/src/primrosemill/telemetry/events.py
+++ b/packages/telemetry/src/primrosemill/telemetry/events.py
@@ -150,8 +150,9 @@
     "routing_in_force",
     Level.INFO,
     "A new version of the operator's routes is in force on this VM; "
-    "`source` is the VM that read it.",
-    ("version", "revision", "routes", "services", "source"),
+    "`source` is the VM that read it. Before that, this VM knew what was "
+    "published as of `age` seconds ago; null if it knew nothing.",
+    ("version", "revision", "routes", "services", "source", "age"),
 )
 ROUTING_OLDER = Event(
     "PM2008",
@@ -553,6 +554,16 @@
     "is dropped, and other VMs must observe the change themselves.",
     ("message",),
 )
+FEED_VOUCHER_CHANGED = Event(
+    "PM2013",
+    "feed_voucher_changed",
+    Level.INFO,
+    "With `found` false, no VM that reads the feed vouches any more that "
+    "this VM learns of changes in time, so it reads the feed itself soon; "
+    "else one does, or the feed was read here. Changes of the last `age` "
+    "seconds may be unknown here; null if nothing is known.",
+    ("found", "age"),
+)
 KEYS_STALE = Event(
     "PM2012",
     "keys_stale",
@@ -622,6 +633,7 @@
     MEMBER_CHANGED,
     WATCH_CHANGED,
     KEYS_STALE,
+    FEED_VOUCHER_CHANGED,
     CAP_VIEW_CHANGED,
     CAP_RESTARTED,
     CAP_FLEET_STARTED,
--- a/tests/builders/key_schedules.py
+++ b/tests/builders/key_schedules.py
@@ -10,6 +10,8 @@
 
 import hypothesis.strategies as st
 
+from primrosemill.decisions import feed_age
+
 from primrosemill.decisions.customers import freshness
 
 VM_COUNT = 4
@@ -17,8 +19,8 @@
 DURATION = 20.0  # seconds
 INTERVAL = 0.5  # seconds between what a VM does regularly
 LATENCY = 0.01  # seconds
-BEFORE = freshness.Version(0, 1)
-AFTER = freshness.Version(0, 2)  # Without the key.
+BEFORE = feed_age.Version(0, 1)
+AFTER = feed_age.Version(0, 2)  # Without the key.
 
 
 class Step(typing.NamedTuple):
@@ -57,7 +59,7 @@
     def age(self, now: float) -> float:
         return self.knowledge.age(now + self.offset)
 
-    def apply(self, version: freshness.Version) -> None:
+    def apply(self, version: feed_age.Version) -> None:
         self.version = max(self.version, version)
         self.knowledge.apply_version(self.version)
 
--- a/tests/builders/old_builds.py
+++ b/tests/builders/old_builds.py
@@ -5,6 +5,7 @@
 
 import expression
 import msgspec
+import trio
 
 from primrosemill.configuration import document as documents
 from primrosemill.fleet import feed
@@ -137,11 +138,17 @@
     return read._replace(batch=trimmed_encoding.reduce_batch(read.batch))
 
 
+async def _wait_forever(in_force: trio.Event) -> None:
+    await trio.sleep_forever()
+
+
 class FeedFollower(feed_follower.FeedFollower):
     """Follows the feed as an old build does."""
 
     def __init__(self, *arguments) -> None:
         super().__init__(*arguments)
+        # It asks no reader, and relies on all that are said to read.
+        self.age.run = _wait_forever
         self._erase_digest()
 
     def _erase_digest(self) -> None:
@@ -203,4 +210,5 @@
             self._transport,
             self._hooks.observe,
             self._hooks.on_change,
+            self._generator,
         )
--- a/tests/decisions/customers/test_freshness.py
+++ b/tests/decisions/customers/test_freshness.py
@@ -5,6 +5,7 @@
 import hypothesis.strategies as st
 import testtools
 
+from primrosemill.decisions import feed_age
 from tests.builders import detection
 from tests.builders import key_schedules
 
@@ -74,12 +75,12 @@
 
     def test_an_answer_of_a_newer_version_counts_once_that_is_in_force(self):
         knowledge = freshness.Knowledge()
-        newer = freshness.Version(1, 8)
+        newer = feed_age.Version(1, 8)
         answer = freshness.Answer(newer, 0.5)
-        knowledge.apply_version(freshness.Version(1, 7))
+        knowledge.apply_version(feed_age.Version(1, 7))
         knowledge.record_answer(10.0, answer)
         self.assertEqual(math.inf, knowledge.age(10.0))
-        knowledge.apply_version(freshness.Version(0, 9))
+        knowledge.apply_version(feed_age.Version(0, 9))
         self.assertEqual(math.inf, knowledge.age(10.0))
         knowledge.apply_version(newer)
         self.assertEqual(0.5, knowledge.age(10.0))
@@ -87,16 +88,16 @@
     def test_a_read_is_not_enough_while_a_peer_has_a_newer_version(self):
         """Guards against a feed restored from a copy with a withdrawn key."""
         knowledge = freshness.Knowledge()
-        knowledge.apply_version(freshness.Version(2, 8))
-        knowledge.record_version(freshness.Version(1, 9))
+        knowledge.apply_version(feed_age.Version(2, 8))
+        knowledge.record_version(feed_age.Version(1, 9))
         knowledge.record_read(9.0)
         self.assertEqual(math.inf, knowledge.age(10.0))
-        knowledge.apply_version(freshness.Version(2, 9))
+        knowledge.apply_version(feed_age.Version(2, 9))
         self.assertEqual(1.0, knowledge.age(10.0))
 
     def test_late_answers_make_nothing_older(self):
         knowledge = freshness.Knowledge()
-        version = freshness.Version(0, 1)
+        version = feed_age.Version(0, 1)
         knowledge.record_read(9.0)
         answer = freshness.Answer(version, 0.5)
         knowledge.apply_version(version)
@@ -119,7 +120,7 @@
 
     def test_readers_of_the_own_domain_are_asked_first(self):
         readers = [
-            freshness.Reader(f"{domain}-{number}", domain)
+            feed_age.Reader(f"{domain}-{number}", domain)
             for domain in ("a", "b")
             for number in range(2)
         ]
--- a/tests/fleet/test_older_builds.py
+++ b/tests/fleet/test_older_builds.py
@@ -35,6 +35,8 @@
     ),
     messages.Room((messages.ServiceRoom("s", "d0", True, 1, ()),)),
     messages.Starts((messages.Start("s", "i-0", 1, 0),)),
+    messages.FeedQuery(7, 0, 3),
+    messages.FeedAnswer(7, 0, 3, 120, 1_300),
 )
 
 
