Caps: a VM that can't know the size of its fleet grants nothing

Cause: a process took what it has met, and the first peers that it has not, for the whole fleet. One that has met nobody may be one of any number.

Such a VM, unless it is a first peer itself, now grants nothing, has no fallback and the least part of the retry reserve, until it meets another VM: its capped customers get 503 cap_unavailable at once. What it has met counts for good, so the last VM of a fleet goes on as before.

Ruled out: a part for an assumed largest fleet, which no settings name.

--- a/packages/decisions/src/primrosemill/decisions/customers/cap_agent.py
+++ b/packages/decisions/src/primrosemill/decisions/customers/cap_agent.py
@@ -557,6 +557,8 @@
         if not self.authority.has_settled(now):
             return 0
         view = self.authority.view
+        if not view.is_size_known:
+            return 0
         total = caps.divide(customer, self._bound).fallback
         return caps.fallback_share(
             total, identifier, view.position, view.fleet_count
--- a/packages/decisions/src/primrosemill/decisions/customers/cap_authority.py
+++ b/packages/decisions/src/primrosemill/decisions/customers/cap_authority.py
@@ -34,17 +34,21 @@
     ``holders`` are the VMs that may hold caps. ``capable_count`` are the VMs
     that are there and keep to caps, this one included; ``fleet_count`` all
     VMs that may run requests, those included that vanished without leaving.
-    ``position`` is this VM's place among the latter.
+    ``position`` is this VM's place among the latter. Without
+    ``is_size_known`` there may be any number of others.
     """
 
     holders: tuple[home_vms.Vm, ...]
     capable_count: int = 1
     fleet_count: int = 1
     position: int = 0
+    is_size_known: bool = True
 
     @property
     def seen_fraction(self) -> float:
         """Return the part of a cap that the seen VMs may grant together."""
+        if not self.is_size_known:
+            return 0.0
         seen = self.capable_count / self.fleet_count
         return min(1.0, seen * caps.LOST_VM_TOLERANCE)
 
--- a/packages/fleet/src/primrosemill/fleet/membership.py
+++ b/packages/fleet/src/primrosemill/fleet/membership.py
@@ -104,8 +104,20 @@
         self._last_tick_at = now
         self._last_received_at = now
         self._resumed_at = now
+        self._has_met_others = False
         self._pending_entries.add(own)
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Return whether this process can know how many VMs there are.
+
+        A VM that has met no other one, and is none of the first peers, may be
+        one of any number that know just the first peers.
+        """
+        if self._has_met_others or not self._first_peers:
+            return True
+        return Peer(self.own.ip, self.own.port) in self._first_peers
+
     def state_of(self, vm_id: str) -> members.State:
         """Return the state of a VM; GONE if the VM is unknown."""
         if vm_id == self.own.vm_id:
@@ -204,6 +216,7 @@
                 continue
             known = self.table.members_by_id.get(entry.vm_id)
             if self.table.merge(entry, now):
+                self._has_met_others = True
                 newer.append(entry)
                 if known is None or (
                     known.entry.incarnation < entry.incarnation
--- a/packages/proxy/src/primrosemill/proxy/customers/cap_exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/customers/cap_exchange.py
@@ -130,6 +130,7 @@
             len(capable_ids),
             len(fleet_ids) + unmet_count,
             sorted(fleet_ids).index(self._own_vm.id),
+            self._peers.knows_fleet(),
         )
         self._fleet_ids = frozenset(fleet_ids)
         self._view_changed = False
--- a/packages/proxy/src/primrosemill/proxy/entry_vm.py
+++ b/packages/proxy/src/primrosemill/proxy/entry_vm.py
@@ -635,7 +635,11 @@
         view = retry_budget.FleetView(
             max(1, self._view.domain_count) * max(1, len(entry_points)),
             self._own_vm in entry_points,
-            self._limit_shares.view.seen_fraction,
+            (
+                self._limit_shares.view.seen_fraction
+                if self.peers.knows_fleet()
+                else 0.0
+            ),
         )
         self._retries.set_bounds(
             retry_budget.FLEET_FRACTION * self._settings.retry_share,
--- a/packages/proxy/src/primrosemill/proxy/peers.py
+++ b/packages/proxy/src/primrosemill/proxy/peers.py
@@ -222,6 +222,12 @@
         known_count = 1 + len(self.node.membership.table.members_by_id)
         return max(0, self._first_peer_count - known_count)
 
+    def knows_fleet(self) -> bool:
+        """Return whether this process can know how many VMs there are."""
+        if self.node.membership is None:
+            return self._first_peer_count == 0
+        return self.node.membership.knows_fleet
+
     def lost_count(self) -> int:
         """Return the number of VMs that vanished without leaving."""
         return len(self.lost_ids())
--- a/tests/proxy/customers/test_cap_exchange.py
+++ b/tests/proxy/customers/test_cap_exchange.py
@@ -174,3 +174,33 @@
             self.assertLess(caller.run_at[0], started + 2.5)
 
         builders.run_fleet(check, 3, document=DOCUMENT)
+
+
+class UnknownFleetTest(testtools.TestCase):
+    """Guards against caps that each of many VMs takes for its own (review/13).
+
+    They have lost power, and the first peers that they know stay away.
+    """
+
+    def run_ones(self, first_peers):
+        """Return what a capped customer gets of VMs that meet nobody."""
+
+        async def check(fleet):
+            vms = [
+                await fleet.start_vm(first_peers=first_peers) for _ in range(3)
+            ]
+            await trio.sleep(SETTLE_TIME)
+            caller = Caller()
+            ran = await caller.play(vms, 2.0)
+            return ran, set(caller.reasons)
+
+        return builders.run_fleet(check, 0, document=DOCUMENT)
+
+    def test_vms_that_meet_no_first_peer_run_nothing_of_a_cap(self):
+        absent = tuple(f"127.0.0.1:{builders.free_port()}" for _ in range(3))
+        ran, reasons = self.run_ones(absent)
+        self.assertEqual((0, {"cap_unavailable"}), (ran, reasons))
+
+    def test_vms_without_first_peers_have_a_fleet_of_their_own(self):
+        ran, _ = self.run_ones(())
+        self.assertGreater(ran, 0.8 * 2.0 / INTERVAL)
