Tests: VMs of their own processes get ports that no other test takes

test_endless_instances.test_chunk_extension failed once: its VM ended at its start, "127.0.0.1:21390 is in use". The ports were chosen at random from those that the tests' own VMs claim by ranges, and checked 0.6 s before the VM bound them.

--- a/packages/measure/src/primrosemill/measure/clients.py
+++ b/packages/measure/src/primrosemill/measure/clients.py
@@ -195,27 +195,38 @@
             )
 
 
-def _free_addresses(count: int) -> list[str]:
-    """Return addresses with ports that are free for now.
+@contextlib.contextmanager
+def _claimed_addresses(count: int) -> typing.Iterator[list[str]]:
+    """Yield addresses that no other process of this module gives to a VM.
 
-    They are below those that outgoing connections get, of which crowds open
-    many until the VM listens.
+    Their ports are below those that outgoing connections get, of which crowds
+    open many until the VM listens. The port before them stays bound, as a
+    claim to all.
     """
-    addresses = []
-    with contextlib.ExitStack() as stack:
-        while len(addresses) < count:
-            port = random.randrange(MIN_PORT, MAX_PORT)
-            stream = stack.enter_context(socket.socket())
-            datagrams = stack.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
+    while True:
+        first = random.randrange(MIN_PORT, MAX_PORT, count + 1)
+        ports = range(first + 1, first + 1 + count)
+        with socket.socket() as claim:
             try:
-                stream.bind((IP, port))
-                datagrams.bind((IP, port))
+                claim.bind((IP, first))
             except OSError:
                 continue
-            addresses.append(f"{IP}:{port}")
-    return addresses
+            if all(_is_free(port) for port in ports):
+                yield [f"{IP}:{port}" for port in ports]
+                return
+
+
+def _is_free(port: int) -> bool:
+    with (
+        socket.socket() as stream,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+    ):
+        try:
+            stream.bind((IP, port))
+            datagrams.bind((IP, port))
+        except OSError:
+            return False
+    return True
 
 
 class Platform(typing.NamedTuple):
@@ -264,12 +275,13 @@
 ) -> typing.AsyncIterator[Vm]:
     """Run an entry VM's process with stand-ins until the end of the block."""
     listeners = ("callers", "ready", "directory", "peers", "admin")
-    addresses = dict(
-        zip(listeners, _free_addresses(len(listeners)), strict=True)
-    )
     async with trio.open_nursery() as nursery:
         platform = await _start_platform(nursery)
-        with tempfile.TemporaryDirectory() as folder:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            _claimed_addresses(len(listeners)) as claimed,
+        ):
+            addresses = dict(zip(listeners, claimed, strict=True))
             path = pathlib.Path(folder) / "vm.ini"
             path.write_text(
                 SETTINGS.format(
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -32,7 +32,7 @@
 # Several test processes choose ports at the same time. Each claims a range by
 # the port before it, which it keeps. All are below the ephemeral ports.
 MIN_PORT = 10_000
-MAX_PORT = 32_000
+MAX_PORT = 20_000  # others are those of VMs in processes of their own
 RANGE_SIZE = 500
 CHECK_TIMEOUT = 30.0  # seconds that a check may take
 START_TIMEOUT = 10.0  # seconds that a VM may take to serve
