Fleet: VMs ask the readers of their domain in turn

One that did not vouch when it was asked last is now asked after the others, and the rest in random order.

--- a/packages/decisions/src/primrosemill/decisions/feed_age.py
+++ b/packages/decisions/src/primrosemill/decisions/feed_age.py
@@ -139,6 +139,8 @@
         self._domain = domain
         self._generator = generator
         self._vouchers_by_id: dict[str, _Voucher] = {}
+        # Readers that have not vouched when they were asked last.
+        self._silent_ids: set[str] = set()
         # A version that this VM lacks, and since when.
         self._missing: Version | None = None
         self._missing_since = math.inf
@@ -151,12 +153,19 @@
         if previous is not None and previous.asked_at > asked_at:
             return
         if answer.alive <= 0.0:
-            self._vouchers_by_id.pop(vm_id, None)
+            self.record_silence((vm_id,))
             return
+        self._silent_ids.discard(vm_id)
         self._vouchers_by_id[vm_id] = _Voucher(
             asked_at, asked_at + answer.alive
         )
 
+    def record_silence(self, vm_ids: typing.Iterable[str]) -> None:
+        """Record that some readers have not vouched when they were asked."""
+        for vm_id in vm_ids:
+            self._vouchers_by_id.pop(vm_id, None)
+            self._silent_ids.add(vm_id)
+
     def record_version(self, named: Version, own: Version, now: float) -> None:
         """Record a version that another VM has, and the one in force here."""
         if self._missing is not None and own >= self._missing:
@@ -203,25 +212,22 @@
     ) -> tuple[list[str], list[str]]:
         """Return the VM to ask first, and those to ask if it does not vouch.
 
-        One of the own failure domain is first, the one that vouched last if
-        there is one; of the others, one is in another domain.
+        One of the own failure domain is first, if there is one; of the
+        others, one is in another domain. Readers that have vouched when they
+        were asked last go before others.
         """
         own, elsewhere = [], []
         for reader in readers:
             group = own if reader.domain == self._domain else elsewhere
             group.append(reader.vm_id)
-        self._generator.shuffle(own)
-        self._generator.shuffle(elsewhere)
-        # The sort is stable: VMs without an answer keep their random order.
-        own.sort(key=self._asked_at, reverse=True)
-        order = own + elsewhere
-        second = elsewhere[:1] if own else []
-        others = order[1 : 1 + OTHERS_ASKED - len(second)] + second
-        return order[:1], [each for each in others if each not in order[:1]]
-
-    def _asked_at(self, vm_id: str) -> float:
-        voucher = self._vouchers_by_id.get(vm_id)
-        return -math.inf if voucher is None else voucher.asked_at
+        self._silent_ids &= {*own, *elsewhere}
+        for group in (own, elsewhere):
+            self._generator.shuffle(group)
+            group.sort(key=self._silent_ids.__contains__)
+        if not own:
+            return elsewhere[:1], elsewhere[1 : 1 + OTHERS_ASKED]
+        others = own[1:OTHERS_ASKED] + elsewhere[:1]
+        return own[:1], others
 
 
 def _longest_silence() -> float:
--- a/packages/fleet/src/primrosemill/fleet/feed_age_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_age_exchange.py
@@ -236,7 +236,15 @@
                 nonce in self._questions_by_nonce for nonce in nonces
             ):
                 await self._answered.wait()
-        return self._is_vouched_since(asked_at)
+        unanswered = [
+            self._questions_by_nonce[nonce].vm_id
+            for nonce in nonces
+            if nonce in self._questions_by_nonce
+        ]
+        is_vouched = self._is_vouched_since(asked_at)
+        if not is_vouched:
+            self._vouchers.record_silence(unanswered)
+        return is_vouched
 
     def _is_vouched_since(self, asked_at: float) -> bool:
         return self._is_vouched() and self._vouchers.asked_at() >= asked_at
--- a/tests/decisions/test_feed_age.py
+++ b/tests/decisions/test_feed_age.py
@@ -68,12 +68,19 @@
         vouchers.record_version(NEWER, NEWER, 10.1)
         self.assertLess(10.0 + feed_age.BEHIND_TIME, vouchers.ends_at())
 
-    def test_the_reader_that_vouched_is_asked_first_and_one_elsewhere_next(
-        self,
-    ):
+    def test_a_silent_reader_is_asked_last_and_one_elsewhere_as_well(self):
         vouchers = self.build()
-        vouchers.record_answer("a-2", 10.0, answer())
-        self.assertEqual((["a-2"], ["a-1", "b-1"]), vouchers.choose(READERS))
+        vouchers.record_silence(("a-1",))
+        for _ in range(9):
+            self.assertEqual(
+                (["a-2"], ["a-1", "b-1"]), vouchers.choose(READERS)
+            )
+
+    def test_readers_are_asked_in_turn(self):
+        vouchers = self.build()
+        first = [vouchers.choose(READERS)[0] for _ in range(40)]
+        self.assertLess(10, first.count(["a-1"]))
+        self.assertLess(10, first.count(["a-2"]))
 
     def test_without_readers_of_the_own_domain_others_are_asked(self):
         vouchers = self.build()
