--- a/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
@@ -154,7 +154,7 @@
             self._wanted = trio.Event()
             self._urgent = trio.Event()
             started = trio.current_time()
-            if self._has_to_ask(peers):
+            if self._has_to_ask():
                 await self._ask(peers)
             await trio.sleep(freshness.ANSWER_TIMEOUT)
             interval = freshness.question_interval(
@@ -163,7 +163,7 @@
             with trio.move_on_at(started + interval):
                 await self._urgent.wait()
 
-    def _has_to_ask(self, peers: fleet_peers.Peers) -> bool:
+    def _has_to_ask(self) -> bool:
         """Return whether what this VM knows of the feed is too old."""
         return self.age() > self.timing.refused
 
