Tests: an unread answer ends at its route's time, counted from its arrival

It began to count when the instance's run was seen, some milliseconds after the request had arrived, and relied on the limit of 3 s for an unread part, which used to hold past the route's 2 s. It now counts from before the request is sent, so the bound stays and holds exactly: nothing may end before the route's time.

--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -105,12 +105,13 @@
             built.instances[0].body = b"x" * ANSWER_SIZE
             stream = await connect(built)
             head = misbehaving_clients.head("GET", builders.READ_PATH)
+            # The time limit of the route counts from the arrival.
+            started = trio.current_time()
             await stream.send_all(head + b"\r\n")
             application = built.vm._application
             with trio.fail_after(ANSWER_TIME):
                 while not built.instances[0].runs:
                     await trio.sleep(0.01)
-                started = trio.current_time()
                 while application.in_flight:
                     await trio.sleep(0.05)
             self.assertGreater(trio.current_time() - started, 2.0)
