--- a/packages/decisions/src/primrosemill/decisions/feed_age.py
+++ b/packages/decisions/src/primrosemill/decisions/feed_age.py
@@ -33,7 +33,7 @@
 CHANGE_CHANCE = 0.1
 # How much longer than asked for the feed may take to answer a call.
 OVERDUE_TIME = 0.15  # seconds
-# How long a reader may lack what another one has, or has passed on.
+# How long this VM may lack what a reader that vouches for it has.
 BEHIND_TIME = 0.5  # seconds
 # VMs that no reader vouches for begin to read within this time, so that the
 # first of them is heard by the others, and all of a large fleet stay within
@@ -170,13 +170,17 @@
 
     def record_version(self, named: Version, own: Version, now: float) -> None:
         """Record a version that another VM has, and the one in force here."""
-        if self._missing is not None and own >= self._missing:
-            self._missing = None
-            self._missing_since = math.inf
+        self.apply_version(own)
         if self._missing is None and own < named:
             self._missing = named
             self._missing_since = now
 
+    def apply_version(self, own: Version) -> None:
+        """Record the version in force here."""
+        if self._missing is not None and own >= self._missing:
+            self._missing = None
+            self._missing_since = math.inf
+
     def ends_at(self) -> float:
         """Return until when some reader vouches; in the past if none does."""
         ends = max(
--- a/packages/fleet/src/primrosemill/fleet/feed_age_exchange.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_age_exchange.py
@@ -20,7 +20,6 @@
 from primrosemill.fleet import observations
 from primrosemill.fleet import transport
 
-MILLISECONDS_PER_SECOND = 1_000
 NONCE_BITS = 62
 NOTICE_NONCE = 0  # of an answer that nobody has asked for
 MAX_QUESTIONS = 64  # that late answers may still fit
@@ -74,7 +73,7 @@
         observe: observations.Observer,
         clock: typing.Callable[[], float],
     ) -> None:
-        self.clock = clock
+        self._clock = clock
         self.on_known: typing.Callable[[float], None] = _ignore_time
         self.on_voucher: typing.Callable[[], None] = _ignore
         self.on_position: typing.Callable[[str, feed.Position], None] = (
@@ -100,7 +99,7 @@
 
     def age(self) -> float:
         """Return the seconds for which a change may be unknown here."""
-        return self._knowledge.age(self.clock())
+        return self._knowledge.age(self._clock())
 
     def record_read(self, sent_at: float) -> None:
         """Record that all changes up to a time, by the clock, are applied."""
@@ -110,7 +109,7 @@
 
     def record_call(self, wait: float) -> None:
         """Record that a call that the feed answers by then is open."""
-        self._alive_until = self.clock() + wait + feed_age.OVERDUE_TIME
+        self._alive_until = self._clock() + wait + feed_age.OVERDUE_TIME
 
     def end_calls(self) -> None:
         """Record that this VM has ceased to read, and ask others at once."""
@@ -123,9 +122,8 @@
         known_at = self._knowledge.known_at
         own = self._own_version()
         self._knowledge.apply_version(own)
-        self._vouchers.record_version(own, own, self.clock())
-        if self._knowledge.known_at > known_at:
-            self.on_known(self._knowledge.known_at)
+        self._vouchers.apply_version(own)
+        self._tell_known_since(known_at)
 
     async def announce(self) -> None:
         """Tell the own failure domain that this VM reads the feed."""
@@ -149,11 +147,11 @@
         self._apply_answer(vm_id, message)
 
     def _apply_answer(self, vm_id: str, message: messages.FeedAnswer) -> None:
-        now = self.clock()
+        now = self._clock()
         answer = feed_age.Answer(
             feed_age.Version(message.epoch, message.revision),
-            message.age_ms / MILLISECONDS_PER_SECOND,
-            message.alive_ms / MILLISECONDS_PER_SECOND,
+            message.age_ms / messages.MILLISECONDS_PER_SECOND,
+            message.alive_ms / messages.MILLISECONDS_PER_SECOND,
         )
         asked_at = now
         if message.nonce == NOTICE_NONCE:
@@ -166,10 +164,8 @@
             del self._questions_by_nonce[message.nonce]
             asked_at = question.asked_at
             known_at = self._knowledge.known_at
-            self._knowledge.apply_version(self._own_version())
             self._knowledge.record_answer(asked_at, answer.version, answer.age)
-            if self._knowledge.known_at > known_at:
-                self.on_known(self._knowledge.known_at)
+            self._tell_known_since(known_at)
             if answer.alive <= 0.0:
                 self._noticed_ids.discard(vm_id)
         self._vouchers.record_answer(vm_id, asked_at, answer)
@@ -180,6 +176,11 @@
         self._answered.set()
         self._answered = trio.Event()
 
+    def _tell_known_since(self, known_at: float) -> None:
+        """Tell as of when the feed is known, if later than before."""
+        if self._knowledge.known_at > known_at:
+            self.on_known(self._knowledge.known_at)
+
     async def run(self, in_force: trio.Event) -> None:
         """Ask readers until cancelled, once a configuration is in force."""
         await in_force.wait()
@@ -195,14 +196,14 @@
 
     def _reads(self) -> bool:
         """Return whether the own open call to the feed is alive."""
-        return self.clock() < self._alive_until
+        return self._clock() < self._alive_until
 
     def _is_vouched(self) -> bool:
-        return self.clock() < self._vouchers.ends_at()
+        return self._clock() < self._vouchers.ends_at()
 
     async def _wait_until_due(self) -> None:
         """Wait until the next question, or until one is urgent."""
-        now = self.clock()
+        now = self._clock()
         due = self._alive_until
         if not self._reads():
             due = self._vouchers.ask_at()
@@ -226,7 +227,7 @@
 
     async def _ask(self, vm_ids: list[str], timeout: float) -> bool:
         """Ask some VMs; return whether one vouches within a time."""
-        asked_at = self.clock()
+        asked_at = self._clock()
         present_by_id = self._view.table.present_by_id
         # Some may have gone since they were chosen.
         entries = [
@@ -256,7 +257,7 @@
         nonce = secrets.randbits(NONCE_BITS) + 1
         if len(self._questions_by_nonce) >= MAX_QUESTIONS:
             del self._questions_by_nonce[next(iter(self._questions_by_nonce))]
-        self._questions_by_nonce[nonce] = _Question(entry.vm_id, self.clock())
+        self._questions_by_nonce[nonce] = _Question(entry.vm_id, self._clock())
         query = messages.FeedQuery(nonce, *self._mirror.position)
         await self._transport.send(entry.ip, entry.port, query)
         return nonce
@@ -272,15 +273,12 @@
         ]
 
     def _build_answer(self, nonce: int) -> messages.FeedAnswer:
-        age_ms, alive_ms = messages.MAX_INTEGER, 0
-        age = self.age()
-        if not math.isinf(age):
-            age_ms = math.ceil(max(0.0, age) * MILLISECONDS_PER_SECOND)
-        alive = self._alive_until - self.clock()
-        if alive > 0.0:
-            alive_ms = int(alive * MILLISECONDS_PER_SECOND)
+        alive = max(0.0, self._alive_until - self._clock())
         return messages.FeedAnswer(
-            nonce, *self._mirror.position, age_ms, alive_ms
+            nonce,
+            *self._mirror.position,
+            messages.encode_age(self.age()),
+            int(alive * messages.MILLISECONDS_PER_SECOND),
         )
 
     def _own_version(self) -> feed_age.Version:
--- a/packages/fleet/src/primrosemill/fleet/feed_reader_policy.py
+++ b/packages/fleet/src/primrosemill/fleet/feed_reader_policy.py
@@ -39,7 +39,7 @@
 
     def __init__(self, generator: random.Random, now: float) -> None:
         self._generator = generator
-        self._next_attempt_at = now + START_DELAY
+        self._next_attempt_at = now
         self._backoff_until = now + START_DELAY
         self._failure_count = 0
         # When to read because no reader vouches for this VM.
@@ -57,13 +57,11 @@
 
     def time_to_start(self, now: float) -> float:
         """Return the seconds until this VM may have to read on its own."""
-        if math.isinf(self._alone_at):
-            return math.inf
         return max(0.0, max(self._alone_at, self._backoff_until) - now)
 
     def should_start_alone(self, now: float) -> bool:
         """Return whether to read now, as no reader vouches for this VM."""
-        return now >= max(self._alone_at, self._backoff_until)
+        return self.time_to_start(now) <= 0.0
 
     def should_start(
         self, now: float, reader_count: int, peer_count: int
@@ -73,7 +71,7 @@
         ``peer_count`` is the number of other VMs in the failure domain, and
         ``reader_count`` the number of those that watch.
         """
-        if now < self._next_attempt_at:
+        if now < max(self._next_attempt_at, self._backoff_until):
             return False
         self._next_attempt_at = now + ATTEMPT_INTERVAL
         missing = target_reader_count(peer_count + 1) - reader_count
@@ -106,4 +104,3 @@
         backoff = min(MAX_BACKOFF, INITIAL_BACKOFF * 2**self._failure_count)
         self._failure_count = min(self._failure_count + 1, 8)
         self._backoff_until = now + backoff * self._generator.uniform(0.5, 1.0)
-        self._next_attempt_at = self._backoff_until
--- a/packages/fleet/src/primrosemill/fleet/messages.py
+++ b/packages/fleet/src/primrosemill/fleet/messages.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 import typing
 
 import msgspec
@@ -16,6 +17,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_INTEGER = 2**63 - 1
+MILLISECONDS_PER_SECOND = 1_000
 
 Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 Key = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=160)]
@@ -30,6 +32,13 @@
 Chunk = typing.Annotated[bytes, msgspec.Meta(max_length=65_536)]
 
 
+def encode_age(age: float) -> int:
+    """Return an age in seconds as ms, rounded up; the largest if infinite."""
+    if math.isinf(age):
+        return MAX_INTEGER
+    return math.ceil(max(0.0, age) * MILLISECONDS_PER_SECOND)
+
+
 class Kind(enum.IntEnum):
     """The number of each message type in the envelope."""
 
--- a/packages/measure/src/primrosemill/measure/clients.py
+++ b/packages/measure/src/primrosemill/measure/clients.py
@@ -211,19 +211,20 @@
                 claim.bind((IP, first))
             except OSError:
                 continue
-            if all(_is_free(port) for port in ports):
+            if all(is_free(IP, port) for port in ports):
                 yield [f"{IP}:{port}" for port in ports]
                 return
 
 
-def _is_free(port: int) -> bool:
+def is_free(ip: str, port: int) -> bool:
+    """Return whether a port is free for TCP and UDP."""
     with (
         socket.socket() as stream,
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
     ):
         try:
-            stream.bind((IP, port))
-            datagrams.bind((IP, port))
+            stream.bind((ip, port))
+            datagrams.bind((ip, port))
         except OSError:
             return False
     return True
--- a/packages/proxy/src/primrosemill/proxy/application.py
+++ b/packages/proxy/src/primrosemill/proxy/application.py
@@ -304,10 +304,9 @@
         refused = self._refuse_early(scope)
         if refused is not None:
             return refused
-        identified: Identified | request_policies.Refused | None = None
-        with request.deadline.open():
-            identified = await self._identify(scope, ticket, request.deadline)
-        if identified is None:
+        with request.deadline.open() as deadline_scope:
+            identified = await self._identify(scope, ticket, request)
+        if deadline_scope.cancelled_caught:
             return request.deadline.refuse_late()
         if isinstance(identified, request_policies.Refused):
             return identified
@@ -370,33 +369,30 @@
         self,
         scope: asgi.Scope,
         ticket: forwarding_tickets.Ticket | None,
-        deadline: request_deadline.RequestDeadline,
+        request: requests_in_progress.RequestInProgress,
     ) -> Identified | request_policies.Refused:
         """Find the route and the customer of a request, or its refusal.
 
         A request may wait until this VM knows enough of the configuration.
         """
-        arrived = trio.current_time()
-        identified = self._identify_now(scope, ticket, deadline, arrived)
+        identified = self._identify_now(scope, ticket, request)
         if isinstance(identified, request_policies.Refused) and (
             await self.access.wait_for_change(identified, scope["headers"])
         ):
-            return self._identify_now(scope, ticket, deadline, arrived)
+            return self._identify_now(scope, ticket, request)
         return identified
 
     def _identify_now(
         self,
         scope: asgi.Scope,
         ticket: forwarding_tickets.Ticket | None,
-        deadline: request_deadline.RequestDeadline,
-        arrived: float,
+        request: requests_in_progress.RequestInProgress,
     ) -> Identified | request_policies.Refused:
         match = self._find_route(scope, ticket)
         if isinstance(match, request_policies.Refused):
             return match
-        deadline.limit(
-            arrived + _read_timeout(scope, match.route, self._dialect)
-        )
+        timeout = _read_timeout(scope, match.route, self._dialect)
+        request.deadline.limit(request.arrived + timeout)
         if self.access.needs_keys:
             self.access.freshness.record_demand()
         customer = self.access.identify(
@@ -418,7 +414,6 @@
         """
         capped = None if context.is_forwarded else context.customer
         if capped is not None:
-            refused = None
             with request.deadline.open() as scope:
                 refused = await self.caps.acquire(capped, context.latest_end)
             if scope.cancelled_caught:
--- a/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
+++ b/packages/proxy/src/primrosemill/proxy/customers/freshness_exchange.py
@@ -31,8 +31,6 @@
 # another VM has answered: the copy may be older than a version of the
 # configuration that this VM has missed and others know.
 RESTORE_TIME = 0.6  # seconds
-MILLISECONDS_PER_SECOND = 1_000
-MAX_AGE_MS = messages.MAX_INTEGER
 NONCE_BITS = 62
 
 
@@ -142,7 +140,7 @@
         if self._find_version().includes(version):
             self._reads_count_from = -math.inf
         answer = freshness.Answer(
-            version, message.age_ms / MILLISECONDS_PER_SECOND
+            version, message.age_ms / messages.MILLISECONDS_PER_SECOND
         )
         self._knowledge.record_answer(asked_at, answer)
         self._note_progress()
@@ -219,12 +217,11 @@
     def _build_answer(
         self, query: messages.FreshnessQuery
     ) -> messages.FreshnessAnswer:
-        age = self.age()
-        age_ms = MAX_AGE_MS
-        if not math.isinf(age):
-            age_ms = math.ceil(max(0.0, age) * MILLISECONDS_PER_SECOND)
-        version = self._find_version()
-        return messages.FreshnessAnswer(query.nonce, *version, age_ms)
+        return messages.FreshnessAnswer(
+            query.nonce,
+            *self._find_version(),
+            messages.encode_age(self.age()),
+        )
 
     def _note_progress(self) -> None:
         if self._is_enough():
--- a/packages/proxy/src/primrosemill/proxy/request_deadline.py
+++ b/packages/proxy/src/primrosemill/proxy/request_deadline.py
@@ -69,11 +69,6 @@
             return min(self.time_limit, self._stalled_at())
         return self._stop.latest_end(self.time_limit)
 
-    @property
-    def is_shortened(self) -> bool:
-        """Return whether the VM stops before the time limit."""
-        return self._stop.shortens(self.time_limit)
-
     def open(self) -> awake_clock.Deadline:
         """Return the context manager of the next part of the work.
 
@@ -116,7 +111,7 @@
 
     def refuse_late(self) -> request_policies.Refused:
         """Return the refusal of a request at its end."""
-        if self.is_shortened:
+        if self._stop.shortens(self.time_limit):
             return request_policies.STOPPING
         return request_policies.Refused(outcomes.RefusalReason.DEADLINE)
 
--- a/tests/builders/cuts.py
+++ b/tests/builders/cuts.py
@@ -14,7 +14,7 @@
 from primrosemill.configuration import checks
 from primrosemill.configuration import document as documents
 from primrosemill.proxy import entry_vm
-from primrosemill.standins import asgi
+from primrosemill.standins import raw_tcp
 from tests.builders import users_platform as builders
 
 FIRST_DOMAIN = builders.DOMAIN
@@ -110,8 +110,11 @@
         return self._wrapped.is_readable()
 
 
-def use_helper(built: builders.Running, served: asgi.SocketAddress) -> None:
-    """Let a VM pass requests on to one address only, as to another VM."""
+async def serve_helper(
+    nursery: trio.Nursery, built: builders.Running, standin: raw_tcp.TcpStandin
+) -> None:
+    """Let a VM pass requests on to a stand-in only, as to another VM."""
+    served = await nursery.start(standin.serve, builders.IP)
     helper = documents.Instance("other", served.ip, served.port, FIRST_DOMAIN)
     built.vm._isolation.forwarding._find_helpers = lambda: [[helper]]
 
--- a/tests/builders/feed_fleets.py
+++ b/tests/builders/feed_fleets.py
@@ -108,7 +108,6 @@
         self.trouble: Trouble | None = None
         self.applied_at_by_version: dict[int, float] = {}
         self.scope = trio.CancelScope()
-        self.held: list[tuple[messages.Message, str]] = []
         first_peers = (membership.Peer(first or self.ip, PORT),)
         self.node = node.Node(
             node.Identity(
--- a/tests/builders/users_platform.py
+++ b/tests/builders/users_platform.py
@@ -13,6 +13,7 @@
 from primrosemill.fleet import boot_clock
 from primrosemill.fleet import feed_follower
 from primrosemill.fleet import node
+from primrosemill.measure import clients
 from primrosemill.platform import adapter
 from primrosemill.proxy import entry_settings
 from primrosemill.proxy import entry_vm
@@ -116,20 +117,11 @@
     """
     _, ports = _claim_ports()
     for port in ports:
-        with socket.socket() as stream, _datagram_socket() as datagram_socket:
-            try:
-                stream.bind((ip, port))
-                datagram_socket.bind((ip, port))
-            except OSError:
-                continue
-        return port
+        if clients.is_free(ip, port):
+            return port
     raise OSError("no ports are claimed")
 
 
-def _datagram_socket() -> socket.socket:
-    return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-
-
 def settings(store_address: str, **changes) -> entry_settings.EntrySettings:
     ports = iter([free_port() for _ in range(5)])
     built = entry_settings.EntrySettings(
--- a/tests/platform/test_endless_instances.py
+++ b/tests/platform/test_endless_instances.py
@@ -54,8 +54,7 @@
             all_cuts[0].start()
             async with trio.open_nursery() as nursery:
                 helper = endless_instances.EndlessInstance(Shape.TINY_CHUNKS)
-                served = await nursery.start(helper.serve, users_platform.IP)
-                cuts.use_helper(first, served)
+                await cuts.serve_helper(nursery, first, helper)
                 async with trio.open_nursery() as calls:
                     for number in range(24):
                         calls.start_soon(self.call, first, f"r{number}")
--- a/tests/platform/test_request_deadline.py
+++ b/tests/platform/test_request_deadline.py
@@ -29,8 +29,7 @@
             all_cuts[0].start()
             helper = raw_tcp.RawStandin(START, lingers=True)
             async with trio.open_nursery() as nursery:
-                served = await nursery.start(helper.serve, builders.IP)
-                cuts.use_helper(first, served)
+                await cuts.serve_helper(nursery, first, helper)
                 started = trio.current_time()
                 self.assertTrue(await self.is_broken_off(first))
                 elapsed = trio.current_time() - started
